--- /dev/null
+++ b/cmd/parsleypierd/hosted.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/parsleypier/parsleypier/internal/eventlog"
+	"github.com/parsleypier/parsleypier/internal/rowstore"
+	"github.com/parsleypier/parsleypier/internal/taskdaemon"
+	"github.com/parsleypier/parsleypier/internal/taskowner"
+	"github.com/parsleypier/parsleypier/platform"
+)
+
+// hostedCommand is the argument with which the daemon runs on the users'
+// platform, where settings come from a file of the platform's format.
+const hostedCommand = "hosted"
+
+// Times of a hosted process.
+const (
+	// lingerShare is the part of the time between SIGTERM and SIGKILL in which an
+	// entry that leaves still accepts connections; the balancer notices within 2 s.
+	lingerShare = 0.4
+	drainShare  = 0.8
+	flushTime   = 100 * time.Millisecond
+	// headerTimeout and idleTimeout are those of the platform's configurations.
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 15 * time.Second
+	maxHeader     = 16 << 10
+)
+
+// runHosted serves the role that the settings file gives the process.
+func runHosted() error {
+	path := os.Getenv(platform.SettingsEnv)
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	role := "agent"
+	if s.ServesClients {
+		role = "entry"
+	}
+	log := eventlog.New(os.Stdout, s.Process, role)
+	log.Event("process_started", "ip", s.IP, "zone", s.Zone, "seeds", len(s.Seeds), "pid", os.Getpid())
+	defer func() {
+		log.Event("process_stopped")
+		log.Flush(flushTime)
+	}()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	reload := func(apply func(seeds []string)) {
+		for range hup {
+			changed, err := platform.LoadSettings(path)
+			if err != nil {
+				log.Event("settings_rejected", "err", err.Error())
+				continue
+			}
+			log.Event("settings_reloaded", "seeds", len(changed.Seeds))
+			apply(changed.Seeds)
+		}
+	}
+	if role == "entry" {
+		return runHostedEntry(ctx, s, log, reload)
+	}
+	return runHostedAgent(ctx, s, log, reload)
+}
+
+func openStore(e rowstore.Exchange) rowstore.Store { return &platform.Store{Do: e} }
+
+func runHostedEntry(ctx context.Context, s *platform.Settings, log *eventlog.Log, reload func(func([]string))) error {
+	e, err := taskdaemon.NewEntry(taskdaemon.EntryOptions{
+		ID: s.Process, RPCAddr: s.RPCAddr, Seeds: s.Seeds, Exchange: platform.NewStoreExchange(s.StoreAddr), OpenStore: openStore,
+		OperatorTable: platform.OperatorTable, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig, Log: log,
+		Times: taskowner.Times{
+			Lease: s.Times.MaxLease, StopGrace: s.Times.StopGrace, GangWait: s.Times.GangWait, Kept: s.Times.Kept,
+			RemotePenalty: s.Times.RemotePenalty,
+		},
+	})
+	if err != nil {
+		return err
+	}
+	go reload(e.SetSeeds)
+	metrics := newMetrics()
+	front := &platform.Front{Gateway: e.Gateway, Config: e.Config, Log: log, Leaving: e.Leaving, Observe: metrics.observe}
+	servers := []*http.Server{
+		{Addr: s.ClientAddr, Handler: front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader},
+		{Addr: s.ReadyAddr, Handler: platform.Ready(e.Ready), ReadHeaderTimeout: headerTimeout},
+		{Addr: s.MetricsAddr, Handler: metrics, ReadHeaderTimeout: headerTimeout},
+	}
+	if err := listen(servers, log); err != nil {
+		return err
+	}
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- e.Run(background) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	log.Event("process_leaving", "graceMs", s.Times.Grace.Milliseconds())
+	started := time.Now()
+	leave, cancel := context.WithTimeout(background, time.Duration(drainShare*float64(s.Times.Grace)))
+	defer cancel()
+	e.Leave(leave)
+	time.Sleep(time.Duration(lingerShare*float64(s.Times.Grace)) - time.Since(started))
+	err = shutdown(leave, servers)
+	e.Close(leave)
+	return err
+}
+
+func runHostedAgent(ctx context.Context, s *platform.Settings, log *eventlog.Log, reload func(func([]string))) error {
+	a, err := taskdaemon.NewAgent(taskdaemon.AgentOptions{
+		ID: s.Process, RPCAddr: s.RPCAddr, Seeds: s.Seeds, Store: openStore(platform.NewStoreExchange(s.StoreAddr)),
+		Connect: platform.ConnectWorker, Lease: s.Times.MaxLease, Log: log,
+	})
+	if err != nil {
+		return err
+	}
+	go reload(a.SetSeeds)
+	metrics := newMetrics()
+	servers := []*http.Server{
+		{Addr: s.WorkerAddr, Handler: &platform.Heartbeats{Agent: a.Agent, Pool: s.LocalPool}, ReadHeaderTimeout: headerTimeout},
+		{Addr: s.MetricsAddr, Handler: metrics, ReadHeaderTimeout: headerTimeout},
+	}
+	if err := listen(servers, log); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	log.Event("process_leaving", "graceMs", s.Times.Grace.Milliseconds())
+	a.Close()
+	limited, cancel := context.WithTimeout(context.Background(), flushTime)
+	defer cancel()
+	return shutdown(limited, servers)
+}
+
+func listen(servers []*http.Server, log *eventlog.Log) error {
+	for _, server := range servers {
+		l, err := net.Listen("tcp", server.Addr)
+		if err != nil {
+			return fmt.Errorf("listen on %s: %w", server.Addr, err)
+		}
+		go func() {
+			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				log.Event("listener_lost", "addr", server.Addr, "err", err.Error())
+			}
+		}()
+	}
+	return nil
+}
+
+func shutdown(ctx context.Context, servers []*http.Server) error {
+	var wg sync.WaitGroup
+	errs := make([]error, len(servers))
+	for i, server := range servers {
+		wg.Go(func() { errs[i] = server.Shutdown(ctx) })
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
--- a/cmd/parsleypierd/main.go
+++ b/cmd/parsleypierd/main.go
@@ -28,6 +28,13 @@
 const telemetryTimeout = 2 * time.Second
 
 func main() {
+	if len(os.Args) == 2 && os.Args[1] == hostedCommand {
+		if err := runHosted(); err != nil {
+			fmt.Fprintf(os.Stderr, "parsleypierd: %v\n", err)
+			os.Exit(exitFailed)
+		}
+		return
+	}
 	cfg, err := config.Parse(os.Args[1:])
 	var help *config.ErrHelp
 	if errors.As(err, &help) {
--- /dev/null
+++ b/internal/election/election.go
@@ -0,0 +1,336 @@
+// Package election decides which entry is the owner: the one process that
+// decides where tasks run. The owner holds a row of the store and renews it;
+// each change of owner raises the epoch, which fences what earlier owners order.
+package election
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/parsleypier/parsleypier/internal/eventlog"
+	"github.com/parsleypier/parsleypier/internal/rowstore"
+)
+
+// RowKey is the key of the owner's row.
+const RowKey = "owner"
+
+// Times of the election. An owner that is cut off stops acting Authority after
+// its last confirmed renewal; others wait for Expiry, which is longer by the
+// delay of a call, before they take over.
+const (
+	RenewInterval = 500 * time.Millisecond
+	Authority     = 1500 * time.Millisecond
+	Expiry        = 1900 * time.Millisecond
+	// probeAfter is the age of a renewal at which candidates ask whether the
+	// owner's process still exists.
+	probeAfter = 700 * time.Millisecond
+	// tick is how often the state is looked at; it adds to a takeover.
+	tick = 50 * time.Millisecond
+	// freshAge is the age of the mirror up to which a candidate can tell that the
+	// row was not renewed.
+	freshAge    = 1500 * time.Millisecond
+	callTimeout = 1400 * time.Millisecond
+)
+
+// Holder is the value of the owner's row. An empty ID says that the owner has
+// released it.
+type Holder struct {
+	ID   string `json:"id"`
+	Addr string `json:"addr"`
+	// Incarnation tells two processes of the same name apart.
+	Incarnation int64 `json:"incarnation"`
+	// Epoch is the fencing token. It grows with each change of owner.
+	Epoch uint64 `json:"epoch"`
+	// Renewal counts the writes of the row.
+	Renewal uint64 `json:"renewal"`
+}
+
+// Term is one time as owner.
+type Term struct {
+	Epoch uint64
+	// Version is the store's version at the takeover.
+	Version uint64
+}
+
+// Options configure an Elector.
+type Options struct {
+	Store  rowstore.Store
+	Mirror *rowstore.Mirror
+	Table  string
+	Self   Holder
+	Log    *eventlog.Log
+	// Clock is a steady clock that counts suspensions.
+	Clock func() time.Duration
+	// ProcessGone reports whether the process at an RPC address certainly no
+	// longer exists.
+	ProcessGone func(ctx context.Context, addr string) bool
+	// Confirm asks all other entries to stay candidates for another Expiry, and
+	// reports whether all did. It is used while the row cannot be renewed.
+	Confirm func(ctx context.Context, epoch uint64) bool
+	// OnAcquire and OnLose are called in turn from the goroutine of Run.
+	OnAcquire func(Term)
+	OnLose    func(reason string)
+}
+
+// Elector takes part in the election. It is safe for concurrent use.
+type Elector struct {
+	o Options
+
+	mu sync.Mutex
+	// row is the newest known row, changed when it was first seen.
+	row     Holder
+	version uint64
+	changed time.Time
+	// holding says that this process is owner; confirmed is when the last
+	// confirmation began, on Clock.
+	holding   bool
+	confirmed time.Duration
+	// promised is the time until which this process does not take over.
+	promised time.Time
+	stopping bool
+	lost     string // why ownership ended, until Run has noticed
+	probing  bool
+	renewing bool
+}
+
+// New returns an elector that does nothing until Run.
+func New(o Options) *Elector {
+	return &Elector{o: o, changed: time.Now()}
+}
+
+// Observe takes over the owner's row from the mirror.
+func (e *Elector) Observe(r rowstore.Row) {
+	var h Holder
+	if err := json.Unmarshal(r.Value, &h); err != nil && !r.Deleted {
+		e.o.Log.Event("owner_row_unreadable", "version", r.Version, "err", err.Error())
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.observe(h, r.Version)
+}
+
+func (e *Elector) observe(h Holder, version uint64) {
+	if version <= e.version {
+		return
+	}
+	e.row, e.version, e.changed = h, version, time.Now()
+	if e.holding && (h.ID != e.o.Self.ID || h.Incarnation != e.o.Self.Incarnation) {
+		e.lost = "another entry holds the row"
+	}
+}
+
+// Owner returns the newest known holder; false if there is none.
+func (e *Elector) Owner() (Holder, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.row, e.row.ID != ""
+}
+
+// HasAuthority reports whether this process is owner and was confirmed recently
+// enough that no other can have taken over.
+func (e *Elector) HasAuthority() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.holding && e.lost == "" && e.o.Clock()-e.confirmed < Authority
+}
+
+// NoticeEpoch ends the ownership if another process has seen a higher epoch.
+func (e *Elector) NoticeEpoch(epoch uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.holding && epoch > e.row.Epoch {
+		e.lost = "a higher epoch is in use"
+	}
+}
+
+// Promise says that this process will not take over for Expiry from now, unless
+// it knows a higher epoch. It reports whether it promised.
+func (e *Elector) Promise(epoch uint64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.holding || e.row.Epoch > epoch {
+		return false
+	}
+	e.promised = time.Now().Add(Expiry)
+	return true
+}
+
+// Run takes part until ctx ends. It does not release the row: see Release.
+func (e *Elector) Run(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		e.step(ctx)
+	}
+}
+
+func (e *Elector) step(ctx context.Context) {
+	e.mu.Lock()
+	switch {
+	case e.holding && e.lost != "":
+		reason := e.lost
+		e.holding, e.lost = false, ""
+		e.mu.Unlock()
+		e.o.Log.Event("ownership_lost", "reason", reason)
+		e.o.OnLose(reason)
+	case e.holding:
+		due := !e.renewing && e.o.Clock()-e.confirmed >= RenewInterval
+		e.renewing = e.renewing || due
+		e.mu.Unlock()
+		if due {
+			go e.renew(ctx)
+		}
+	default:
+		take := e.mayTake()
+		probe := !take && e.row.ID != "" && !e.probing && time.Since(e.changed) > probeAfter
+		e.probing = e.probing || probe
+		addr := e.row.Addr
+		e.mu.Unlock()
+		if take {
+			e.take(ctx)
+		} else if probe {
+			go e.probe(ctx, addr)
+		}
+	}
+}
+
+// mayTake reports whether the row is free. It is called with the lock held.
+func (e *Elector) mayTake() bool {
+	age, loaded := e.o.Mirror.Age()
+	if !loaded || age > freshAge || e.stopping {
+		// The row may have been renewed unseen: the time begins again.
+		e.changed = time.Now()
+		return false
+	}
+	if e.row.ID == "" || e.row.ID == e.o.Self.ID {
+		return true // released, never held, or held by a process that this one replaced
+	}
+	return time.Since(e.changed) > Expiry && time.Now().After(e.promised)
+}
+
+// probe takes over at once if the owner's process no longer exists.
+func (e *Elector) probe(ctx context.Context, addr string) {
+	limited, cancel := context.WithTimeout(ctx, probeAfter)
+	defer cancel()
+	gone := e.o.ProcessGone(limited, addr)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.probing = false
+	if gone && e.row.Addr == addr && !e.holding {
+		e.o.Log.Event("owner_process_gone", "owner", e.row.ID, "addr", addr, "epoch", e.row.Epoch)
+		e.changed, e.promised = time.Now().Add(-Expiry-tick), time.Time{}
+	}
+}
+
+func (e *Elector) take(ctx context.Context) {
+	e.mu.Lock()
+	before, version := e.row, e.version
+	e.mu.Unlock()
+	next := e.o.Self
+	next.Epoch, next.Renewal = before.Epoch+1, 1
+	sent := e.o.Clock()
+	written, err := e.write(ctx, next, version)
+	if err != nil {
+		e.o.Log.Event("takeover_failed", "epoch", next.Epoch, "err", err.Error())
+		return
+	}
+	e.mu.Lock()
+	e.row, e.version, e.changed = next, written, time.Now()
+	e.holding, e.confirmed, e.lost = true, sent, ""
+	e.mu.Unlock()
+	e.o.Log.Event("ownership_acquired", "epoch", next.Epoch, "version", written, "previousOwner", before.ID)
+	e.o.OnAcquire(Term{next.Epoch, written})
+}
+
+// write replaces the row. A conflict is observed before it is returned.
+func (e *Elector) write(ctx context.Context, h Holder, version uint64) (uint64, error) {
+	value, err := json.Marshal(h)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	written, err := e.o.Store.Commit(ctx, rowstore.Txn{
+		Checks: []rowstore.Check{{Table: e.o.Table, Key: RowKey, Version: version}},
+		Puts:   []rowstore.Put{{Table: e.o.Table, Key: RowKey, Value: value}},
+	})
+	var conflict *rowstore.Conflict
+	if errors.As(err, &conflict) {
+		for _, r := range conflict.Rows {
+			if r.Key == RowKey {
+				e.Observe(r)
+			}
+		}
+	}
+	return written, err
+}
+
+func (e *Elector) renew(ctx context.Context) {
+	e.mu.Lock()
+	next, version := e.row, e.version
+	e.mu.Unlock()
+	next.Renewal++
+	sent := e.o.Clock()
+	written, err := e.write(ctx, next, version)
+	if err == nil {
+		e.mu.Lock()
+		e.renewing = false
+		e.confirmed = max(e.confirmed, sent)
+		if written > e.version {
+			e.row, e.version, e.changed = next, written, time.Now()
+		}
+		e.mu.Unlock()
+		return
+	}
+	sent = e.o.Clock()
+	limited, cancel := context.WithTimeout(ctx, RenewInterval)
+	defer cancel()
+	confirmed := e.o.Confirm(limited, next.Epoch)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.renewing = false
+	if confirmed && e.holding {
+		e.confirmed = max(e.confirmed, sent)
+	}
+}
+
+// Release gives the row up, so that another entry takes over at once, and ends
+// this process's part in the election.
+func (e *Elector) Release(ctx context.Context) error {
+	e.mu.Lock()
+	e.stopping = true
+	holding, row, version := e.holding, e.row, e.version
+	e.holding = false
+	e.mu.Unlock()
+	if !holding {
+		return nil
+	}
+	e.o.OnLose("released")
+	var err error
+	for range releaseTries {
+		if _, err = e.write(ctx, Holder{Epoch: row.Epoch, Renewal: row.Renewal + 1}, version); err == nil {
+			e.o.Log.Event("ownership_released", "epoch", row.Epoch)
+			return nil
+		}
+		e.mu.Lock()
+		version = e.version // a renewal that was under way
+		mine := e.row.ID == e.o.Self.ID
+		e.mu.Unlock()
+		if !mine {
+			return nil
+		}
+	}
+	return err
+}
+
+// releaseTries covers a renewal under way and one lost answer.
+const releaseTries = 3
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"expvar"
 	"time"
+
+	"github.com/parsleypier/parsleypier/internal/telemetry"
 )
 
 // The metrics of this package, shared by all Servers of a process.
@@ -19,21 +21,4 @@
 	return m
 }
 
-var latencyBuckets = []struct {
-	bound time.Duration
-	name  string
-}{
-	{time.Millisecond, "le_1ms"}, {5 * time.Millisecond, "le_5ms"}, {20 * time.Millisecond, "le_20ms"},
-	{100 * time.Millisecond, "le_100ms"}, {500 * time.Millisecond, "le_500ms"}, {2 * time.Second, "le_2s"},
-	{10 * time.Second, "le_10s"}, {60 * time.Second, "le_60s"},
-}
-
-func countLatency(d time.Duration) {
-	for _, b := range latencyBuckets {
-		if d <= b.bound {
-			latencies.Add(b.name, 1)
-			return
-		}
-	}
-	latencies.Add("above_60s", 1)
-}
+func countLatency(d time.Duration) { latencies.Add(telemetry.Bucket(d), 1) }
--- /dev/null
+++ b/internal/rowstore/mirror.go
@@ -0,0 +1,216 @@
+package rowstore
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/parsleypier/parsleypier/internal/eventlog"
+	"github.com/parsleypier/parsleypier/internal/retry"
+)
+
+// Times of a mirror.
+const (
+	// feedWait is how long a feed call waits for a change. A connection that
+	// falls silent is noticed after feedWait and the client's own timeout, which
+	// has to stay below the 2 s in which a configuration comes into force.
+	feedWait = 800 * time.Millisecond
+	// mirrorBackoff is the mean delay after a failed call.
+	mirrorBackoff = 100 * time.Millisecond
+	// callTimeout limits one call of a mirror with its tries.
+	callTimeout = 3 * time.Second
+	listPage    = 500
+)
+
+// Mirror is a copy of a table that the feed keeps up to date. It is safe for
+// concurrent use.
+type Mirror struct {
+	store Store
+	table string
+	log   *eventlog.Log
+	// onChange receives the rows that changed, in order, from one goroutine.
+	onChange func([]Row)
+
+	mu      sync.Mutex
+	rows    map[string]Row
+	version uint64
+	loaded  bool
+	freshAt time.Time // start of the last call that succeeded
+	down    bool
+	changed chan struct{} // closed with each advance
+}
+
+// NewMirror returns an empty mirror; Run fills it. onChange may be nil.
+func NewMirror(store Store, table string, log *eventlog.Log, onChange func([]Row)) *Mirror {
+	if onChange == nil {
+		onChange = func([]Row) {}
+	}
+	return &Mirror{store: store, table: table, log: log, onChange: onChange, rows: map[string]Row{}, changed: make(chan struct{})}
+}
+
+// Run follows the table until ctx ends.
+func (m *Mirror) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := m.step(ctx); err != nil {
+			m.failed(err)
+			retry.Sleep(ctx, retry.Jitter(2*mirrorBackoff))
+		}
+	}
+}
+
+func (m *Mirror) step(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	m.mu.Lock()
+	loaded, version := m.loaded, m.version
+	m.mu.Unlock()
+	started := time.Now()
+	if !loaded {
+		return m.load(ctx, started)
+	}
+	page, err := m.store.Feed(ctx, m.table, version, feedWait)
+	if errors.Is(err, ErrHistoryGone) {
+		m.log.Event("store_history_gone", "table", m.table, "afterVersion", version)
+		return m.load(ctx, started)
+	}
+	if err != nil {
+		return err
+	}
+	m.apply(page, started, false)
+	return nil
+}
+
+// load reads the whole table. The version of the first page is where the feed
+// goes on: rows that change while later pages are read come again.
+func (m *Mirror) load(ctx context.Context, started time.Time) error {
+	all := Page{}
+	from := ""
+	for {
+		page, err := m.store.List(ctx, m.table, from, listPage)
+		if err != nil {
+			return err
+		}
+		if all.Version == 0 {
+			all.Version = page.Version
+		}
+		all.Rows = append(all.Rows, page.Rows...)
+		if !page.More || len(page.Rows) == 0 {
+			break
+		}
+		from = page.Rows[len(page.Rows)-1].Key + "\x00"
+	}
+	m.apply(all, started, true)
+	return nil
+}
+
+// apply takes over rows that are newer than what is known. whole says that rows
+// which are not on the page do not exist.
+func (m *Mirror) apply(page Page, started time.Time, whole bool) {
+	m.mu.Lock()
+	var news []Row
+	seen := map[string]bool{}
+	for _, r := range page.Rows {
+		seen[r.Key] = true
+		if old, ok := m.rows[r.Key]; ok && old.Version >= r.Version || !ok && r.Deleted {
+			continue
+		}
+		if r.Deleted {
+			delete(m.rows, r.Key)
+		} else {
+			m.rows[r.Key] = r
+		}
+		news = append(news, r)
+	}
+	if whole {
+		for key, old := range m.rows {
+			if !seen[key] && old.Version <= page.Version {
+				delete(m.rows, key)
+				news = append(news, Row{Table: m.table, Key: key, Version: page.Version, Deleted: true})
+			}
+		}
+	}
+	m.mu.Unlock()
+	if len(news) > 0 {
+		m.onChange(news)
+	}
+	m.mu.Lock()
+	m.version = max(m.version, page.Version)
+	m.loaded, m.freshAt = true, started
+	regained := m.down
+	m.down = false
+	close(m.changed)
+	m.changed = make(chan struct{})
+	m.mu.Unlock()
+	if regained {
+		m.log.Event("store_regained", "table", m.table, "version", page.Version)
+	}
+}
+
+func (m *Mirror) failed(err error) {
+	m.mu.Lock()
+	lost := !m.down
+	m.down = true
+	age := time.Since(m.freshAt)
+	m.mu.Unlock()
+	if lost {
+		m.log.Event("store_lost", "table", m.table, "ageMs", age.Milliseconds(), "err", err.Error())
+	}
+}
+
+// Get returns a row as the mirror knows it.
+func (m *Mirror) Get(key string) (Row, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, ok := m.rows[key]
+	return r, ok
+}
+
+// Note takes over a row that this process has written or read itself, so that
+// what it has confirmed is visible here before the feed brings it.
+func (m *Mirror) Note(r Row) {
+	m.mu.Lock()
+	if old, ok := m.rows[r.Key]; ok && old.Version >= r.Version {
+		m.mu.Unlock()
+		return
+	}
+	m.rows[r.Key] = r
+	m.mu.Unlock()
+	m.onChange([]Row{r})
+}
+
+// Range calls f for each row whose key begins with prefix, in no order, until
+// it returns false. f must not call the mirror.
+func (m *Mirror) Range(prefix string, f func(Row) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for k, r := range m.rows {
+		if len(k) >= len(prefix) && k[:len(prefix)] == prefix && !f(r) {
+			return
+		}
+	}
+}
+
+// Age returns how old the mirror's knowledge is; false if it has none yet.
+func (m *Mirror) Age() (time.Duration, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.freshAt), m.loaded
+}
+
+// WaitFor waits until the mirror has reached the version. The error is ctx's.
+func (m *Mirror) WaitFor(ctx context.Context, version uint64) error {
+	for {
+		m.mu.Lock()
+		reached, changed := m.loaded && m.version >= version, m.changed
+		m.mu.Unlock()
+		if reached {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/taskagent/orders.go
@@ -0,0 +1,179 @@
+package taskagent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/parsleypier/parsleypier/internal/retry"
+	"github.com/parsleypier/parsleypier/internal/taskrpc"
+	"github.com/parsleypier/parsleypier/internal/workflow"
+)
+
+// Times of orders.
+const (
+	// orderTimeout limits one try. The worker is on the same machine and answers
+	// within a few milliseconds or not at all.
+	orderTimeout = 300 * time.Millisecond
+	// startWindow is how long an order to start stays valid on the worker's clock.
+	// It bounds how late a worker can carry out one that it left unanswered.
+	startWindow = 1500 * time.Millisecond
+	// startTries limits the tries of a start; together they last no longer than a
+	// gang waits for its members.
+	startTries = 5
+)
+
+// apply carries out what the owner's reply asks for. The lock is held.
+func (s *session) apply(ctx context.Context, reply *taskrpc.SyncReply) {
+	if reply.Noted > s.noted {
+		s.noted = reply.Noted
+		for len(s.ends) > 0 && s.ends[0].Seq <= s.noted {
+			s.ends = s.ends[1:]
+		}
+		signal(s.wake)
+	}
+	for _, id := range reply.Forget {
+		if r := s.runs[id]; r != nil && r.state == taskrpc.RunRejected {
+			delete(s.runs, id)
+		}
+	}
+	for _, id := range reply.Stop {
+		r := s.runs[id]
+		if r == nil && !s.over[id] {
+			// The order to start it never came, or went to an earlier process that may
+			// have passed it on.
+			r = &localRun{state: taskrpc.RunStarting, uncertain: true, stop: true}
+			s.runs[id] = r
+			go s.reject(ctx, id, r, ReasonNoAnswer)
+			continue
+		}
+		if r == nil || r.stop || r.state == taskrpc.RunRejected {
+			continue
+		}
+		r.stop = true
+		if r.state == taskrpc.RunRunning {
+			go s.stop(ctx, id, r)
+		}
+	}
+	for _, order := range reply.Start {
+		if s.runs[order.ID] != nil || s.over[order.ID] {
+			continue
+		}
+		r := &localRun{state: taskrpc.RunStarting}
+		s.runs[order.ID] = r
+		go s.start(ctx, order, r)
+	}
+}
+
+// start carries out an order to start. An order that was not answered is sent
+// again for the same attempt, which starts nothing twice.
+func (s *session) start(ctx context.Context, order taskrpc.Start, r *localRun) {
+	reason := ReasonNoAnswer
+	for range startTries {
+		s.mu.Lock()
+		refuse := ""
+		switch {
+		case r.stop:
+			refuse = ReasonNoAnswer
+		case s.worker.Draining:
+			refuse = ReasonDraining
+		case r.state != taskrpc.RunStarting || s.gone:
+			s.mu.Unlock()
+			return // listed meanwhile
+		}
+		call := StartCall{
+			ID: order.ID, Payload: order.Payload, Checkpoint: order.Checkpoint, Fence: s.fence,
+			Deadline: s.clockNow(time.Now()) + startWindow,
+		}
+		s.mu.Unlock()
+		if refuse != "" {
+			reason = refuse
+			break
+		}
+		limited, cancel := context.WithTimeout(ctx, orderTimeout)
+		answer, err := s.api.Start(limited, call)
+		cancel()
+		if errors.Is(err, ErrOtherBoot) {
+			s.end(err.Error())
+			return
+		}
+		s.mu.Lock()
+		if err != nil {
+			r.uncertain = true
+			s.mu.Unlock()
+			s.a.o.Log.Event("start_unanswered", "run", order.ID.String(), "job", order.ID.Task.Job, "worker", s.id, "err", err.Error())
+			retry.Sleep(ctx, retry.Jitter(2*retryPause))
+			continue
+		}
+		s.heard(answer.Clock)
+		if answer.Rejected == "" {
+			if r.state == taskrpc.RunStarting {
+				r.state, r.answered = taskrpc.RunRunning, time.Now()
+			}
+			stop := r.stop
+			s.mu.Unlock()
+			signal(s.dirty)
+			if stop {
+				s.stop(ctx, order.ID, r)
+			}
+			return
+		}
+		s.mu.Unlock()
+		reason = answer.Rejected
+		if reason != ReasonLate {
+			break
+		}
+	}
+	s.reject(ctx, order.ID, r, reason)
+}
+
+// reject reports a run that did not start. While an earlier order may still be
+// carried out, the run is stopped first, so that it never will.
+func (s *session) reject(ctx context.Context, id workflow.RunID, r *localRun, reason string) {
+	s.mu.Lock()
+	uncertain := r.uncertain
+	s.mu.Unlock()
+	if uncertain && !s.stopUntilAnswered(ctx, id) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.state != taskrpc.RunStarting {
+		return // it ran after all, and its end is listed
+	}
+	s.a.o.Log.Event("start_rejected", "run", id.String(), "job", id.Task.Job, "worker", s.id, "reason", reason)
+	r.state, r.reason = taskrpc.RunRejected, reason
+	s.over[id] = true
+	signal(s.dirty)
+}
+
+// stop stops a run; its end is listed by the worker.
+func (s *session) stop(ctx context.Context, id workflow.RunID, r *localRun) {
+	s.mu.Lock()
+	if r.state == taskrpc.RunRunning {
+		r.state = taskrpc.RunStopping
+	}
+	s.mu.Unlock()
+	s.stopUntilAnswered(ctx, id)
+}
+
+func (s *session) stopUntilAnswered(ctx context.Context, id workflow.RunID) bool {
+	for ctx.Err() == nil && !s.isOver() {
+		limited, cancel := context.WithTimeout(ctx, orderTimeout)
+		s.mu.Lock()
+		fence := s.fence
+		s.mu.Unlock()
+		answer, err := s.api.Stop(limited, id, fence)
+		cancel()
+		if err == nil && answer.Rejected == "" {
+			return true
+		}
+		if errors.Is(err, ErrOtherBoot) {
+			s.end(err.Error())
+			return false
+		}
+		s.a.o.Log.Event("stop_unanswered", "run", id.String(), "job", id.Task.Job, "worker", s.id, "reason", answer.Rejected)
+		retry.Sleep(ctx, retry.Jitter(2*retryPause))
+	}
+	return false
+}
--- /dev/null
+++ b/internal/taskagent/session.go
@@ -0,0 +1,318 @@
+package taskagent
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/parsleypier/parsleypier/internal/retry"
+	"github.com/parsleypier/parsleypier/internal/taskrpc"
+	"github.com/parsleypier/parsleypier/internal/workflow"
+)
+
+// Times of a session.
+const (
+	// holdWait is how long a worker waits for an end before it lists what runs. It
+	// bounds the age of progress and the delay of a lease's renewal.
+	holdWait = time.Second
+	// holdTimeout limits a call beyond its wait. The worker is on the same machine.
+	holdTimeout = 400 * time.Millisecond
+	// holdPause follows a listing of ends that the owner has not noted yet, which
+	// the worker would otherwise list again at once.
+	holdPause = 200 * time.Millisecond
+	// retryPause is the mean delay after a call without an answer.
+	retryPause = 60 * time.Millisecond
+	// clockSlow is the share by which a worker's clock may be slow.
+	clockSlow = 0.02
+)
+
+// localRun is a run that the agent knows of.
+type localRun struct {
+	state      taskrpc.RunState
+	reason     string
+	checkpoint string
+	percent    int
+	// answered is when the worker confirmed the start; a listing that was asked
+	// for later must have the run.
+	answered time.Time
+	// uncertain says that an order to start it has not been answered.
+	uncertain bool
+	stop      bool
+}
+
+// session is one life of a worker.
+type session struct {
+	a    *Agent
+	id   string
+	boot int64
+	api  Worker
+
+	mu     sync.Mutex
+	worker taskrpc.Worker
+	seq    uint64 // of the last heartbeat
+	runs   map[workflow.RunID]*localRun
+	// over has every run that has ended or was rejected here. An order for it that
+	// arrives late is not carried out again.
+	over  map[workflow.RunID]bool
+	ends  []taskrpc.End // not noted yet, by number
+	noted uint64
+	seen  uint64 // highest number of an end that was listed
+	fence uint64 // highest one that the worker confirmed
+	// clock was the worker's clock no later than clockAt.
+	clock   time.Duration
+	clockAt time.Time
+	// inTouch is when the last call that the owner answered was sent.
+	inTouch  time.Time
+	listed   bool
+	answered time.Time // when the worker last answered
+	silent   bool
+	gone     bool
+
+	dirty  chan struct{} // something to report
+	wake   chan struct{} // something to tell the worker
+	cancel context.CancelFunc
+	// syncSeq and processed number the calls to the owner.
+	syncSeq, processed uint64
+}
+
+func newSession(a *Agent, w taskrpc.Worker, addr string, seq uint64) *session {
+	return &session{
+		a: a, id: w.ID, boot: w.Boot, api: a.o.Connect(addr, w.ID), worker: w, seq: seq, answered: time.Now(),
+		runs: map[workflow.RunID]*localRun{}, over: map[workflow.RunID]bool{},
+		dirty: make(chan struct{}, 1), wake: make(chan struct{}, 1), cancel: func() {},
+	}
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// run serves until the worker is gone or ctx ends.
+func (s *session) run(ctx context.Context) {
+	defer s.api.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { s.holdLoop(ctx) })
+	s.syncLoop(ctx)
+	cancel()
+	s.a.forget(s)
+}
+
+func (s *session) isOver() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gone
+}
+
+func (s *session) lastBeat() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seq
+}
+
+func (s *session) beat(w taskrpc.Worker, seq uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if seq <= s.seq {
+		return
+	}
+	s.seq = seq
+	changed := s.worker.Draining != w.Draining || s.worker.Capacity != w.Capacity || !slices.Equal(s.worker.Labels, w.Labels)
+	if s.worker.Draining != w.Draining {
+		s.a.o.Log.Event("worker_draining", "worker", s.id, "draining", w.Draining, "heartbeat", seq)
+	}
+	s.worker = w
+	if changed {
+		signal(s.dirty)
+	}
+}
+
+// end takes note that this life of the worker is over.
+func (s *session) end(why string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gone {
+		return
+	}
+	s.gone = true
+	s.a.o.Log.Event("worker_gone", "worker", s.id, "boot", s.boot, "why", why, "runs", len(s.runs))
+	signal(s.dirty)
+	signal(s.wake)
+	s.cancel()
+}
+
+// ownerChanged makes the worker refuse earlier owners, then reports to the new one.
+func (s *session) ownerChanged() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	signal(s.wake)
+	signal(s.dirty)
+	s.cancel()
+}
+
+// holdLoop keeps the leases and follows what the worker lists.
+func (s *session) holdLoop(ctx context.Context) {
+	for ctx.Err() == nil && !s.isOver() {
+		epoch := s.a.currentEpoch()
+		s.mu.Lock()
+		wait := holdWait
+		if !s.listed || s.fence < epoch || s.seen > s.noted {
+			wait = 0
+		}
+		s.mu.Unlock()
+		select {
+		case <-s.wake:
+		default:
+		}
+		if err := s.hold(ctx, wait); err != nil {
+			if errors.Is(err, ErrOtherBoot) {
+				s.end(err.Error())
+				return
+			}
+			retry.Sleep(ctx, retry.Jitter(2*retryPause))
+			continue
+		}
+		if wait == 0 {
+			pause := time.NewTimer(holdPause)
+			select {
+			case <-s.wake:
+			case <-pause.C:
+			case <-ctx.Done():
+			}
+			pause.Stop()
+		}
+	}
+}
+
+// hold asks the worker once. A wait is cut short by wake.
+func (s *session) hold(ctx context.Context, wait time.Duration) error {
+	epoch := s.a.currentEpoch()
+	ctx, cancel := context.WithTimeout(ctx, wait+holdTimeout)
+	defer cancel()
+	s.mu.Lock()
+	call := HoldCall{Fence: epoch, Noted: s.noted, Wait: wait, Deadline: s.leaseEnd()}
+	s.cancel = cancel
+	s.mu.Unlock()
+	sent := time.Now()
+	l, err := s.api.Hold(ctx, call)
+	if err != nil {
+		s.unanswered(err)
+		return err
+	}
+	if l.Boot != 0 && l.Boot != s.boot {
+		return ErrOtherBoot
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heard(l.Clock)
+	if l.Rejected != "" {
+		// A higher token than ours: an owner that this agent has not heard of.
+		s.a.o.Log.Event("hold_rejected", "worker", s.id, "reason", l.Rejected, "epoch", epoch)
+		return errors.New("hold rejected: " + l.Rejected)
+	}
+	if epoch > s.fence {
+		s.fence = epoch
+		signal(s.dirty)
+	}
+	s.take(l, sent)
+	return nil
+}
+
+func (s *session) unanswered(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if errors.Is(err, context.Canceled) || s.silent || time.Since(s.answered) < silentAfter {
+		return
+	}
+	s.silent = true
+	s.a.o.Log.Event("worker_lost", "worker", s.id, "boot", s.boot, "runs", len(s.runs), "err", err.Error())
+	signal(s.dirty)
+}
+
+// silentAfter is the time without an answer after which a worker receives no
+// more work; one hold can be left unanswered without that.
+const silentAfter = 1800 * time.Millisecond
+
+// heard takes note of the worker's clock. The lock is held.
+func (s *session) heard(clock time.Duration) {
+	now := time.Now()
+	s.answered = now
+	if s.silent {
+		s.silent = false
+		s.a.o.Log.Event("worker_regained", "worker", s.id, "boot", s.boot)
+		signal(s.dirty)
+	}
+	if clock > 0 {
+		s.clock, s.clockAt = clock, now
+	}
+}
+
+// clockNow returns a time that the worker's clock has reached. The lock is held.
+func (s *session) clockNow(t time.Time) time.Duration {
+	passed := t.Sub(s.clockAt)
+	if passed > 0 {
+		passed = time.Duration(float64(passed) * (1 - clockSlow))
+	}
+	return s.clock + passed
+}
+
+// leaseEnd returns the end of the leases on the worker's clock: Lease after the
+// owner was in touch, so that the owner knows when they have run out on a worker
+// that it does not reach. The lock is held.
+func (s *session) leaseEnd() time.Duration {
+	if s.clockAt.IsZero() || s.inTouch.IsZero() {
+		return 0
+	}
+	return max(0, s.clockNow(s.inTouch)+s.a.o.Lease)
+}
+
+// take takes over a listing that was asked for at sent. The lock is held.
+func (s *session) take(l Listing, sent time.Time) {
+	changed := !s.listed
+	s.listed = true
+	present := map[workflow.RunID]bool{}
+	for _, r := range l.Running {
+		present[r.ID] = true
+		local := s.runs[r.ID]
+		if local == nil {
+			local = &localRun{state: taskrpc.RunRunning}
+			s.runs[r.ID] = local
+			changed = true
+		}
+		if local.state == taskrpc.RunStarting {
+			local.state, changed = taskrpc.RunRunning, true
+		}
+		if local.answered.IsZero() {
+			local.answered = sent
+		}
+		local.checkpoint, local.percent = r.Checkpoint, r.Percent
+	}
+	for _, e := range l.Ended {
+		present[e.ID] = true
+		if e.Seq <= s.noted || e.Seq <= s.seen {
+			continue
+		}
+		s.seen = e.Seq
+		s.ends = append(s.ends, e)
+		s.over[e.ID] = true
+		delete(s.runs, e.ID)
+		changed = true
+	}
+	for id, r := range s.runs {
+		if present[id] || r.answered.IsZero() || r.answered.After(sent) || r.state == taskrpc.RunRejected || r.state == taskrpc.RunStarting {
+			continue
+		}
+		r.state, r.reason, changed = taskrpc.RunRejected, ReasonVanished, true
+		s.over[id] = true
+	}
+	if changed {
+		signal(s.dirty)
+	}
+}
--- /dev/null
+++ b/internal/taskdaemon/agent.go
@@ -0,0 +1,85 @@
+package taskdaemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/parsleypier/parsleypier/internal/eventlog"
+	"github.com/parsleypier/parsleypier/internal/rowstore"
+	"github.com/parsleypier/parsleypier/internal/rpc"
+	"github.com/parsleypier/parsleypier/internal/taskagent"
+	"github.com/parsleypier/parsleypier/internal/workflow"
+)
+
+// AgentOptions configure an Agent.
+type AgentOptions struct {
+	ID, RPCAddr string
+	Seeds       []string
+	// Store is where the entries' addresses are read if no known one answers.
+	Store   rowstore.Store
+	Connect func(addr, worker string) taskagent.Worker
+	Lease   time.Duration
+	Log     *eventlog.Log
+}
+
+// Agent is a running agent.
+type Agent struct {
+	*taskagent.Agent
+	pool   *rpc.Pool
+	server *rpc.Server
+	stop   context.CancelFunc
+}
+
+// extendTimeout limits the last renewal of leases of an agent that is stopped.
+const extendTimeout = 300 * time.Millisecond
+
+// NewAgent returns an agent that serves until Close.
+func NewAgent(o AgentOptions) (*Agent, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	a := &Agent{pool: rpc.NewPool("", o.ID, nil), server: rpc.NewServer(), stop: stop}
+	a.Agent = taskagent.New(ctx, taskagent.Options{
+		// A restarted process numbers its calls anew.
+		ID: fmt.Sprintf("%s/%d", o.ID, time.Now().UnixNano()), Addr: o.RPCAddr, Caller: a.pool, Log: o.Log, Seeds: o.Seeds,
+		MoreEntries: func(ctx context.Context) []string { return entriesOf(ctx, o.Store, o.Log) }, Connect: o.Connect, Lease: o.Lease,
+	})
+	if err := a.server.Register("Agent", &taskagent.Service{Agent: a.Agent}); err != nil {
+		return nil, err
+	}
+	if _, err := a.server.Listen(o.RPCAddr); err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+// entriesOf reads the addresses of the entries from the store.
+func entriesOf(ctx context.Context, store rowstore.Store, log *eventlog.Log) []string {
+	page, err := store.List(ctx, Table, workflow.EntryPrefix, maxEntries)
+	if err != nil {
+		log.Event("entries_unreadable", "err", err.Error())
+		return nil
+	}
+	var out []string
+	for _, r := range page.Rows {
+		prefix, _ := workflow.CutKey(r.Key)
+		var row entryRow
+		if err := json.Unmarshal(r.Value, &row); prefix == workflow.EntryPrefix && err == nil {
+			out = append(out, row.Addr)
+		}
+	}
+	return out
+}
+
+// maxEntries is above the entries of a deployment.
+const maxEntries = 100
+
+// Close renews the leases for the next process and ends.
+func (a *Agent) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), extendTimeout)
+	defer cancel()
+	a.Extend(ctx)
+	a.stop()
+	a.server.Close(ctx)
+	a.pool.Close()
+}
--- /dev/null
+++ b/internal/taskdaemon/entry.go
@@ -0,0 +1,349 @@
+// Package taskdaemon wires the packages for jobs that are workflows into the two
+// roles of a deployment on a platform of its users: the entry and the agent.
+package taskdaemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/parsleypier/parsleypier/internal/boottime"
+	"github.com/parsleypier/parsleypier/internal/election"
+	"github.com/parsleypier/parsleypier/internal/eventlog"
+	"github.com/parsleypier/parsleypier/internal/gateway"
+	"github.com/parsleypier/parsleypier/internal/retry"
+	"github.com/parsleypier/parsleypier/internal/rowstore"
+	"github.com/parsleypier/parsleypier/internal/rpc"
+	"github.com/parsleypier/parsleypier/internal/taskowner"
+	"github.com/parsleypier/parsleypier/internal/taskplan"
+	"github.com/parsleypier/parsleypier/internal/workflow"
+)
+
+// Table is the table of the system's rows.
+const Table = "parsleypier"
+
+// Times of an entry.
+const (
+	// peerTimeout limits a call to another entry. A round trip takes 3 ms.
+	peerTimeout = 400 * time.Millisecond
+	// rowInterval is how often an entry looks after its own row and, as owner,
+	// after those of entries that no longer exist.
+	rowInterval = time.Second
+	// entryGone is the time without an answer after which the owner removes the
+	// row of an entry.
+	entryGone = 10 * time.Second
+	// configRetry is how often a process without a configuration asks others.
+	configRetry = 300 * time.Millisecond
+	// unreadyAfter is the age of the last contact with the store after which an
+	// entry leaves new connections to others.
+	unreadyAfter = 2500 * time.Millisecond
+)
+
+// EntryOptions configure an Entry.
+type EntryOptions struct {
+	ID, RPCAddr string
+	// Seeds are RPC addresses of other entries.
+	Seeds []string
+	// Exchange is the direct way to the store, OpenStore the store over a way.
+	Exchange  rowstore.Exchange
+	OpenStore func(rowstore.Exchange) rowstore.Store
+	// OperatorTable and ConfigKey name the row of the operator's configuration.
+	OperatorTable, ConfigKey string
+	DecodeConfig             func([]byte) (*gateway.Config, error)
+	Times                    taskowner.Times
+	Log                      *eventlog.Log
+}
+
+// Entry is a running entry.
+type Entry struct {
+	o        EntryOptions
+	Config   *gateway.Holder
+	Gateway  *gateway.Gateway
+	pool     *rpc.Pool
+	server   *rpc.Server
+	failover *rowstore.Failover
+	store    rowstore.Store
+	rows     *rowstore.Mirror
+	operator *rowstore.Mirror
+	elector  *election.Elector
+
+	mu    sync.Mutex
+	owner *taskowner.Owner
+	term  election.Term
+	seeds []string
+	// answered is when each other entry last answered, for the owner.
+	answered map[string]time.Time
+	leaving  bool
+}
+
+// NewEntry returns an entry that does nothing until Run.
+func NewEntry(o EntryOptions) (*Entry, error) {
+	e := &Entry{o: o, Config: &gateway.Holder{Log: o.Log}, server: rpc.NewServer(), seeds: o.Seeds, answered: map[string]time.Time{}}
+	e.pool = rpc.NewPool("", o.ID, nil)
+	e.failover = &rowstore.Failover{Direct: o.Exchange, Peers: e.exchanges, Log: o.Log}
+	e.store = o.OpenStore(e.failover.Do)
+	e.rows = rowstore.NewMirror(e.store, Table, o.Log, e.observe)
+	e.operator = rowstore.NewMirror(e.store, o.OperatorTable, o.Log, e.observeOperator)
+	e.Gateway = gateway.New(gateway.Options{Store: e.store, Mirror: e.rows, Table: Table, Log: o.Log, UnixMillis: unixMillis})
+	e.elector = election.New(election.Options{
+		Store: e.store, Mirror: e.rows, Table: Table, Log: o.Log, Clock: boottime.Now,
+		Self:        election.Holder{ID: o.ID, Addr: o.RPCAddr, Incarnation: time.Now().UnixNano()},
+		ProcessGone: processGone, Confirm: e.confirm, OnAcquire: e.acquire, OnLose: e.lose,
+	})
+	return e, errors.Join(
+		e.server.Register("Tasks", &tasksService{e}),
+		e.server.Register("Peer", &peerService{e}),
+	)
+}
+
+func unixMillis() int64 { return time.Now().UnixMilli() }
+
+// Run serves the other processes and takes part in the election until ctx ends.
+func (e *Entry) Run(ctx context.Context) error {
+	if _, err := e.server.Listen(e.o.RPCAddr); err != nil {
+		return err
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { e.rows.Run(ctx) })
+	wg.Go(func() { e.operator.Run(ctx) })
+	wg.Go(func() { e.elector.Run(ctx) })
+	wg.Go(func() { e.keepRows(ctx) })
+	wg.Go(func() { e.seekConfig(ctx) })
+	wg.Wait()
+	return nil
+}
+
+// Leave hands over ownership and removes the entry's row. New work is still
+// served, by way of the next owner.
+func (e *Entry) Leave(ctx context.Context) {
+	e.mu.Lock()
+	e.leaving = true
+	e.mu.Unlock()
+	if err := e.elector.Release(ctx); err != nil {
+		e.o.Log.Event("release_failed", "err", err.Error())
+	}
+	if row, ok := e.rows.Get(workflow.EntryPrefix + e.o.ID); ok {
+		e.deleteRow(ctx, row)
+	}
+}
+
+// Close ends the connections to the other processes.
+func (e *Entry) Close(ctx context.Context) {
+	e.server.Close(ctx)
+	e.pool.Close()
+}
+
+// Ready returns an error while other entries serve new connections better.
+func (e *Entry) Ready() error {
+	e.mu.Lock()
+	leaving := e.leaving
+	e.mu.Unlock()
+	age, loaded := e.rows.Age()
+	switch {
+	case leaving:
+		return errors.New("leaving")
+	case e.Config.Current() == nil:
+		return errors.New("no configuration is known")
+	case !loaded || age > unreadyAfter:
+		return errors.New("the store is out of reach")
+	}
+	return nil
+}
+
+// Leaving reports whether the entry is shutting down.
+func (e *Entry) Leaving() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leaving
+}
+
+// SetSeeds replaces the seeds after a change of the settings.
+func (e *Entry) SetSeeds(seeds []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seeds = seeds
+}
+
+func (e *Entry) observe(rows []rowstore.Row) {
+	for _, r := range rows {
+		if r.Key == election.RowKey {
+			e.elector.Observe(r)
+		}
+	}
+	e.Gateway.Observe(rows)
+	if o := e.currentOwner(); o != nil {
+		o.Observe(rows)
+	}
+}
+
+func (e *Entry) currentOwner() *taskowner.Owner {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.owner
+}
+
+func (e *Entry) observeOperator(rows []rowstore.Row) {
+	for _, r := range rows {
+		if r.Key != e.o.ConfigKey || r.Deleted {
+			continue
+		}
+		e.offerConfig(r.Value, "store")
+	}
+}
+
+func (e *Entry) offerConfig(document []byte, source string) {
+	c, err := e.o.DecodeConfig(document)
+	if err != nil {
+		e.o.Log.Event("config_unreadable", "source", source, "err", err.Error())
+		return
+	}
+	e.Config.Offer(c, source)
+}
+
+// acquire starts the owner of a new term.
+func (e *Entry) acquire(term election.Term) {
+	o := taskowner.New(taskowner.Options{
+		ID: e.o.ID, Addr: e.o.RPCAddr, Epoch: term.Epoch, Version: term.Version, Store: e.store, Mirror: e.rows, Table: Table,
+		Config: e.Config, Caller: e.pool, Log: e.o.Log, Entries: e.entryAddrs, Authority: e.elector.HasAuthority,
+		NoticeEpoch: e.elector.NoticeEpoch, Decide: taskplan.Decide, Times: e.o.Times, UnixMillis: unixMillis,
+	})
+	e.mu.Lock()
+	e.owner, e.term = o, term
+	e.mu.Unlock()
+	o.Start()
+}
+
+func (e *Entry) lose(string) {
+	e.mu.Lock()
+	o := e.owner
+	e.owner = nil
+	e.mu.Unlock()
+	if o != nil {
+		o.Stop()
+	}
+}
+
+// entryRow is the value of an entry's row.
+type entryRow struct {
+	Addr string `json:"addr"`
+}
+
+// peers returns the RPC addresses of the other entries by ID.
+func (e *Entry) peers() map[string]string {
+	out := map[string]string{}
+	e.rows.Range(workflow.EntryPrefix, func(r rowstore.Row) bool {
+		id := strings.TrimPrefix(r.Key, workflow.EntryPrefix)
+		var row entryRow
+		if err := json.Unmarshal(r.Value, &row); err == nil && id != e.o.ID && row.Addr != "" && row.Addr != e.o.RPCAddr {
+			out[id] = row.Addr
+		}
+		return true
+	})
+	return out
+}
+
+// entryAddrs returns the RPC addresses of all entries, this one first.
+func (e *Entry) entryAddrs() []string {
+	addrs := []string{}
+	for _, a := range e.peers() {
+		addrs = append(addrs, a)
+	}
+	slices.Sort(addrs)
+	return append([]string{e.o.RPCAddr}, addrs...)
+}
+
+// peerAddrs returns the other entries' addresses, with the seeds as long as no
+// row is known.
+func (e *Entry) peerAddrs() []string {
+	addrs := e.entryAddrs()[1:]
+	if len(addrs) == 0 {
+		e.mu.Lock()
+		addrs = slices.Clone(e.seeds)
+		e.mu.Unlock()
+	}
+	return addrs
+}
+
+// processGone reports whether the machine at addr answers that no process
+// listens there.
+func processGone(ctx context.Context, addr string) bool {
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	if err == nil {
+		c.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// keepRows keeps the entry's own row and, as owner, removes those of entries
+// that are gone.
+func (e *Entry) keepRows(ctx context.Context) {
+	for retry.Sleep(ctx, retry.Jitter(rowInterval)) {
+		if _, loaded := e.rows.Age(); !loaded || e.Leaving() {
+			continue
+		}
+		row, ok := e.rows.Get(workflow.EntryPrefix + e.o.ID)
+		value, err := json.Marshal(entryRow{e.o.RPCAddr})
+		if err == nil && (!ok || string(row.Value) != string(value)) {
+			e.writeRow(ctx, row.Version, value)
+		}
+		if e.currentOwner() != nil {
+			e.removeGone(ctx)
+		}
+	}
+}
+
+func (e *Entry) writeRow(ctx context.Context, version uint64, value []byte) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout*2)
+	defer cancel()
+	key := workflow.EntryPrefix + e.o.ID
+	version, err := e.store.Commit(ctx, rowstore.Txn{
+		Checks: []rowstore.Check{{Table: Table, Key: key, Version: version}},
+		Puts:   []rowstore.Put{{Table: Table, Key: key, Value: value}},
+	})
+	if err != nil {
+		e.o.Log.Event("entry_row_not_written", "err", err.Error())
+		return
+	}
+	e.rows.Note(rowstore.Row{Table: Table, Key: key, Value: value, Version: version})
+}
+
+func (e *Entry) removeGone(ctx context.Context) {
+	for id, addr := range e.peers() {
+		limited, cancel := context.WithTimeout(ctx, peerTimeout)
+		c, err := (&net.Dialer{}).DialContext(limited, "tcp", addr)
+		cancel()
+		e.mu.Lock()
+		last, known := e.answered[id]
+		if err == nil || !known {
+			e.answered[id] = time.Now()
+		}
+		e.mu.Unlock()
+		if err == nil {
+			c.Close()
+		} else if known && time.Since(last) > entryGone {
+			if row, ok := e.rows.Get(workflow.EntryPrefix + id); ok {
+				e.o.Log.Event("entry_removed", "entry", id, "addr", addr, "silentMs", time.Since(last).Milliseconds())
+				e.deleteRow(ctx, row)
+			}
+		}
+	}
+}
+
+func (e *Entry) deleteRow(ctx context.Context, row rowstore.Row) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout*2)
+	defer cancel()
+	_, err := e.store.Commit(ctx, rowstore.Txn{
+		Checks:  []rowstore.Check{{Table: Table, Key: row.Key, Version: row.Version}},
+		Deletes: []rowstore.Ref{{Table: Table, Key: row.Key}},
+	})
+	if err != nil {
+		e.o.Log.Event("entry_row_not_removed", "key", row.Key, "err", err.Error())
+	}
+}
--- /dev/null
+++ b/internal/taskdaemon/peer.go
@@ -0,0 +1,116 @@
+package taskdaemon
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/parsleypier/parsleypier/internal/retry"
+	"github.com/parsleypier/parsleypier/internal/rowstore"
+	"github.com/parsleypier/parsleypier/internal/rpc"
+	"github.com/parsleypier/parsleypier/internal/taskrpc"
+	"github.com/parsleypier/parsleypier/internal/verdict"
+)
+
+// exchanges returns the ways to the store through the other entries.
+func (e *Entry) exchanges() []rowstore.Exchange {
+	var out []rowstore.Exchange
+	for _, addr := range e.peerAddrs() {
+		out = append(out, e.exchangeVia(addr))
+	}
+	return out
+}
+
+func (e *Entry) exchangeVia(addr string) rowstore.Exchange {
+	return func(ctx context.Context, c rowstore.Call) (rowstore.Answer, error) {
+		reply := &taskrpc.StoreReply{}
+		err := e.pool.Call(ctx, addr, taskrpc.MethodStore, &taskrpc.StoreArgs{Call: c}, reply)
+		return reply.Answer, err
+	}
+}
+
+// confirm asks all other entries not to take over.
+func (e *Entry) confirm(ctx context.Context, epoch uint64) bool {
+	var wg sync.WaitGroup
+	var refused atomic.Bool
+	for _, addr := range e.peers() {
+		wg.Go(func() {
+			reply := &taskrpc.ConfirmReply{}
+			err := e.pool.Call(ctx, addr, taskrpc.MethodConfirm, &taskrpc.ConfirmArgs{Epoch: epoch}, reply)
+			if err != nil || !reply.Promised {
+				refused.Store(true)
+			}
+			if reply.Epoch > epoch {
+				e.elector.NoticeEpoch(reply.Epoch)
+			}
+		})
+	}
+	wg.Wait()
+	return !refused.Load()
+}
+
+// seekConfig asks other entries for the configuration while this one has none
+// and the store does not give it.
+func (e *Entry) seekConfig(ctx context.Context) {
+	for e.Config.Current() == nil && retry.Sleep(ctx, retry.Jitter(2*configRetry)) {
+		for _, addr := range e.peerAddrs() {
+			limited, cancel := context.WithTimeout(ctx, peerTimeout)
+			reply := &taskrpc.ConfigReply{}
+			err := e.pool.Call(limited, addr, taskrpc.MethodConfig, &taskrpc.ConfigArgs{}, reply)
+			cancel()
+			if err == nil && len(reply.Document) > 0 {
+				e.offerConfig(reply.Document, addr)
+			}
+		}
+	}
+}
+
+// tasksService is the RPC service Tasks of an entry.
+type tasksService struct{ e *Entry }
+
+// Sync passes an agent's call to the owner, if it is this entry.
+func (s *tasksService) Sync(args *taskrpc.SyncArgs, reply *taskrpc.SyncReply) error {
+	if o := s.e.currentOwner(); o != nil {
+		o.Sync(args, reply)
+		return nil
+	}
+	if holder, ok := s.e.elector.Owner(); ok {
+		reply.Owner, reply.Epoch = holder.Addr, holder.Epoch
+	}
+	reply.Entries = s.e.entryAddrs()
+	reply.Err = verdict.Refuse(verdict.CodeNotOwner, "this entry is not the owner")
+	return nil
+}
+
+// peerService is the RPC service Peer of an entry.
+type peerService struct{ e *Entry }
+
+// Confirm promises not to take over for a while.
+func (s *peerService) Confirm(args *taskrpc.ConfirmArgs, reply *taskrpc.ConfirmReply) error {
+	reply.Promised = s.e.elector.Promise(args.Epoch)
+	if holder, ok := s.e.elector.Owner(); ok {
+		reply.Epoch = holder.Epoch
+	}
+	return nil
+}
+
+// Store carries a call of the store for a process that the store turns away.
+func (s *peerService) Store(args *taskrpc.StoreArgs, reply *taskrpc.StoreReply) error {
+	ctx, end := rpc.Start(args.Header, taskrpc.MethodStore)
+	defer end()
+	answer, err := s.e.failover.Served(ctx, args.Call)
+	if err != nil {
+		reply.Err = verdict.From(err)
+		return nil
+	}
+	reply.Answer = answer
+	return nil
+}
+
+// Config returns the configuration in force.
+func (s *peerService) Config(_ *taskrpc.ConfigArgs, reply *taskrpc.ConfigReply) error {
+	if c := s.e.Config.Current(); c != nil {
+		reply.Document, reply.Version = c.Document, c.Version
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/taskowner/owner.go
@@ -0,0 +1,325 @@
+// Package taskowner decides for a deployment whose jobs are workflows: it knows
+// all jobs from the store's rows and all runs from the agents' reports, orders
+// starts and stops, and makes ends durable before workers forget them. One entry
+// at a time is the owner; see package election.
+//
+// What an owner knows of runs is not stored. A new owner learns it from the
+// agents of all workers that have a row, and treats what may run on a worker that
+// does not report as running until the worker's leases have lapsed for certain.
+package taskowner
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/parsleypier/parsleypier/internal/estimate"
+	"github.com/parsleypier/parsleypier/internal/eventlog"
+	"github.com/parsleypier/parsleypier/internal/rowstore"
+	"github.com/parsleypier/parsleypier/internal/rpc"
+	"github.com/parsleypier/parsleypier/internal/taskplan"
+	"github.com/parsleypier/parsleypier/internal/workflow"
+)
+
+// Caller calls other processes.
+type Caller interface {
+	Call(ctx context.Context, addr, method string, args rpc.Headed, reply rpc.Failer) error
+}
+
+// Config is what the owner needs to know of the operator's configuration.
+type Config interface {
+	// Terms returns the terms of a queue; false if it is not configured.
+	Terms(queue string) (workflow.Terms, bool)
+	// GuaranteedGPUs returns what belongs to an account's work of priority 0.
+	GuaranteedGPUs(account string) int
+}
+
+// Options configure an Owner.
+type Options struct {
+	ID, Addr string
+	Epoch    uint64
+	// Version is the store's version at the takeover. Jobs that were accepted
+	// later cannot have been started by an earlier owner.
+	Version uint64
+	Store   rowstore.Store
+	Mirror  *rowstore.Mirror
+	Table   string
+	Config  Config
+	Caller  Caller
+	Log     *eventlog.Log
+	// Entries returns the RPC addresses of all entries.
+	Entries func() []string
+	// Authority reports whether no other entry can have taken over.
+	Authority func() bool
+	// NoticeEpoch is called when an agent has seen a higher epoch.
+	NoticeEpoch func(uint64)
+	Decide      func(*taskplan.Snapshot) *taskplan.Plan
+	Times       Times
+	// UnixMillis returns the time of day.
+	UnixMillis func() int64
+}
+
+// Times are the bounds of the deployment.
+type Times struct {
+	// Lease is the length of the leases of tasks, from an agent's last contact.
+	Lease time.Duration
+	// StopGrace is the longest time that a task takes to stop, GangWait how long a
+	// member of a gang waits for the others.
+	StopGrace, GangWait time.Duration
+	// Kept is how long ended jobs stay known.
+	Kept          time.Duration
+	RemotePenalty float64
+}
+
+// Constants of the owner.
+const (
+	// tickInterval is how often the owner looks for what only time changes.
+	tickInterval = 100 * time.Millisecond
+	// gatherDelay lets the reports of one event arrive before a decision.
+	gatherDelay = 2 * time.Millisecond
+	// freshContact is the age of an agent's last call up to which its worker
+	// receives starts. Agents call at least every 500 ms.
+	freshContact = 1200 * time.Millisecond
+	// clockSlow is the share by which a worker's clock may be slow; leaseSlack
+	// covers what an owner's own timers are late.
+	clockSlow  = 0.02
+	leaseSlack = 200 * time.Millisecond
+	// gangStartShare is the part of the time that members wait for each other
+	// after which a gang that has not started whole is stopped.
+	gangStartShare = 0.6
+	announceLimit  = 500 * time.Millisecond
+	recallInterval = 700 * time.Millisecond
+)
+
+// Owner decides for the deployment during one epoch. It is safe for concurrent
+// use.
+type Owner struct {
+	o      Options
+	start  time.Time
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu       sync.Mutex
+	jobs     map[string]*job
+	workers  map[string]*worker
+	runtimes *estimate.Runtimes
+	health   *estimate.Health
+	// loaded says that all rows up to the takeover are known.
+	loaded   bool
+	recalled time.Time // when silent agents were last called
+	stopped  bool
+	kick     chan struct{} // something to decide
+	dirty    chan struct{} // something to write
+}
+
+// New returns an owner that does nothing until Start.
+func New(o Options) *Owner {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Owner{
+		o: o, start: time.Now(), ctx: ctx, cancel: cancel, jobs: map[string]*job{}, workers: map[string]*worker{},
+		runtimes: estimate.NewRuntimes(), health: estimate.NewHealth(),
+		kick: make(chan struct{}, 1), dirty: make(chan struct{}, 1),
+	}
+}
+
+// Start begins the owner's work in the background.
+func (o *Owner) Start() {
+	o.wg.Go(o.load)
+	o.wg.Go(o.cycles)
+	o.wg.Go(o.persist)
+}
+
+// Stop ends the owner's work. It orders nothing afterwards.
+func (o *Owner) Stop() {
+	o.mu.Lock()
+	o.stopped = true
+	for _, w := range o.workers {
+		w.wake()
+	}
+	o.mu.Unlock()
+	o.cancel()
+	o.wg.Wait()
+}
+
+// now is the time on the owner's clock.
+func (o *Owner) now() time.Duration { return time.Since(o.start) }
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// load takes over all rows once the mirror has reached the takeover.
+func (o *Owner) load() {
+	if err := o.o.Mirror.WaitFor(o.ctx, o.o.Version); err != nil {
+		return // stopped
+	}
+	var rows []rowstore.Row
+	o.o.Mirror.Range("", func(r rowstore.Row) bool {
+		rows = append(rows, r)
+		return true
+	})
+	o.mu.Lock()
+	for _, r := range rows {
+		o.observe(r)
+	}
+	o.loaded = true
+	expected := 0
+	var addrs []string
+	for _, w := range o.workers {
+		if w.expected {
+			expected++
+			addrs = append(addrs, w.addr)
+		}
+	}
+	o.mu.Unlock()
+	o.o.Log.Event("owner_loaded", "epoch", o.o.Epoch, "version", o.o.Version, "jobs", len(o.jobs), "workersExpected", expected)
+	o.announce(addrs)
+	signal(o.kick)
+}
+
+// Observe takes over rows of the table as the mirror learns them.
+func (o *Owner) Observe(rows []rowstore.Row) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.loaded {
+		return // load takes them from the mirror
+	}
+	for _, r := range rows {
+		o.observe(r)
+	}
+	signal(o.kick)
+}
+
+func (o *Owner) observe(r rowstore.Row) {
+	prefix, name := workflow.CutKey(r.Key)
+	switch prefix {
+	case workflow.RecordPrefix:
+		o.observeRecord(name, r)
+	case workflow.CancelPrefix:
+		if j := o.jobs[name]; j != nil && !r.Deleted {
+			o.cancelJob(j)
+		} else if j == nil && !r.Deleted {
+			// The record's row may come after the mark's in a listing.
+			o.jobs[name] = &job{id: name, cancelled: true}
+		}
+	case workflow.ProgressPrefix:
+		o.observeProgress(name, r)
+	case workflow.WorkerPrefix:
+		o.observeWorker(name, r)
+	}
+}
+
+func (o *Owner) observeRecord(id string, r rowstore.Row) {
+	j := o.jobs[id]
+	if r.Deleted {
+		delete(o.jobs, id)
+		return
+	}
+	if j != nil && j.rec != nil {
+		return
+	}
+	rec := &workflow.Record{}
+	if err := json.Unmarshal(r.Value, rec); err != nil || rec.Spec.Validate() != nil || rec.ID != id {
+		o.o.Log.Event("job_row_unreadable", "job", id, "version", r.Version)
+		return
+	}
+	if j == nil {
+		j = &job{id: id}
+		o.jobs[id] = j
+	}
+	j.fill(rec, r.Version, o.now(), r.Version <= o.o.Version)
+	if !j.prog.State.Final() {
+		o.o.Log.Event("job_seen", "job", id, "queue", rec.Queue, "account", rec.Account, "steps", len(rec.Spec.Steps),
+			"version", r.Version, "inherited", j.inherited, "cancelled", j.cancelled)
+	}
+}
+
+func (o *Owner) observeProgress(id string, r rowstore.Row) {
+	j := o.jobs[id]
+	if r.Deleted {
+		return
+	}
+	if j == nil {
+		j = &job{id: id}
+		o.jobs[id] = j
+	}
+	if r.Version <= j.progVersion {
+		return
+	}
+	p := &workflow.Progress{}
+	if err := json.Unmarshal(r.Value, p); err != nil {
+		o.o.Log.Event("progress_row_unreadable", "job", id, "version", r.Version)
+		return
+	}
+	j.progVersion = r.Version
+	if j.prog == nil {
+		j.prog = p
+	} else {
+		j.prog.Merge(p)
+	}
+	j.stored = p.State
+}
+
+// workerRow is the value of a worker's row.
+type workerRow struct {
+	Addr string `json:"addr"` // of its agent
+	Boot int64  `json:"boot"`
+}
+
+func (o *Owner) observeWorker(id string, r rowstore.Row) {
+	w := o.workers[id]
+	if r.Deleted {
+		if w != nil && r.Version > w.rowVersion {
+			w.row, w.rowVersion = false, r.Version
+		}
+		return
+	}
+	var row workerRow
+	if err := json.Unmarshal(r.Value, &row); err != nil {
+		o.o.Log.Event("worker_row_unreadable", "worker", id, "version", r.Version)
+		return
+	}
+	if w == nil {
+		w = newWorker(id)
+		w.boot, w.addr, w.lastReply = row.Boot, row.Addr, time.Now()
+		// A worker whose row an earlier owner wrote may run anything.
+		w.expected = true
+		o.workers[id] = w
+	}
+	if r.Version > w.rowVersion {
+		w.row, w.rowVersion = true, r.Version
+	}
+}
+
+// cycles decides whenever something has changed.
+func (o *Owner) cycles() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case <-ticker.C:
+		case <-o.kick:
+			time.Sleep(gatherDelay)
+			select {
+			case <-o.kick:
+			default:
+			}
+		}
+		o.mu.Lock()
+		if o.loaded && !o.stopped {
+			o.expire()
+			o.recall()
+			if o.o.Authority() {
+				o.cycle()
+			}
+		}
+		o.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/taskowner/persist.go
@@ -0,0 +1,197 @@
+package taskowner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/parsleypier/parsleypier/internal/retry"
+	"github.com/parsleypier/parsleypier/internal/rowstore"
+	"github.com/parsleypier/parsleypier/internal/verdict"
+	"github.com/parsleypier/parsleypier/internal/workflow"
+)
+
+// Bounds of the owner's writes.
+const (
+	// writeJobs is the number of jobs in a transaction: each has two conditions and
+	// one write.
+	writeJobs    = 30
+	writeTimeout = 2500 * time.Millisecond
+	// writePause is the mean delay after a write that the store did not serve.
+	writePause = 100 * time.Millisecond
+)
+
+// persist writes what has changed until the owner stops.
+func (o *Owner) persist() {
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case <-o.dirty:
+		}
+		for o.ctx.Err() == nil {
+			more, err := o.write()
+			if err != nil {
+				retry.Sleep(o.ctx, retry.Jitter(2*writePause))
+				continue
+			}
+			if !more {
+				break
+			}
+		}
+	}
+}
+
+// written is a job in a transaction.
+type written struct {
+	job   *job
+	gen   uint64
+	state workflow.State
+}
+
+// write writes one batch and reports whether there may be more to write.
+func (o *Owner) write() (bool, error) {
+	o.mu.Lock()
+	if !o.loaded {
+		o.mu.Unlock()
+		return false, nil
+	}
+	txn, jobs, workers := o.batch()
+	members := map[*worker]bool{} // whether the transaction makes it a member
+	for _, w := range workers {
+		members[w] = !w.row
+	}
+	o.mu.Unlock()
+	if len(txn.Checks) == 0 {
+		return false, nil
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, writeTimeout)
+	defer cancel()
+	sent := time.Now()
+	version, err := o.o.Store.Commit(ctx, txn)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var conflict *rowstore.Conflict
+	switch {
+	case errors.As(err, &conflict):
+		o.o.Log.Event("write_conflict", "jobs", len(jobs), "workers", len(workers), "rows", len(conflict.Rows))
+		o.resolve(txn, conflict)
+		return true, nil
+	case err != nil:
+		o.o.Log.Event("write_failed", "jobs", len(jobs), "workers", len(workers), "err", err.Error(),
+			"verdict", verdict.Of(err).String(), "afterMs", time.Since(sent).Milliseconds())
+		return true, err
+	}
+	for _, wr := range jobs {
+		wr.job.progVersion, wr.job.durable, wr.job.stored = version, wr.gen, wr.state
+	}
+	for _, w := range workers {
+		w.row, w.rowVersion = members[w], version
+		o.o.Log.Event("worker_row_written", "worker", w.id, "member", w.row, "version", version)
+		if !w.row && w.lost {
+			delete(o.workers, w.id)
+		}
+		signal(o.kick)
+	}
+	for _, w := range o.workers {
+		if before := w.noted; len(w.pending) > 0 {
+			if w.note(); w.noted > before {
+				w.wake()
+			}
+		}
+	}
+	return true, nil
+}
+
+// batch returns the next transaction, with what it writes.
+func (o *Owner) batch() (rowstore.Txn, []written, []*worker) {
+	var txn rowstore.Txn
+	var jobs []written
+	var workers []*worker
+	for _, w := range o.workers {
+		if len(workers) >= writeJobs || w.row == !w.lost {
+			continue
+		}
+		key := workflow.WorkerPrefix + w.id
+		version := w.rowVersion
+		if !w.row {
+			version = 0
+		}
+		txn.Checks = append(txn.Checks, rowstore.Check{Table: o.o.Table, Key: key, Version: version})
+		if w.row {
+			txn.Deletes = append(txn.Deletes, rowstore.Ref{Table: o.o.Table, Key: key})
+		} else if value, err := json.Marshal(workerRow{w.addr, w.boot}); err == nil {
+			txn.Puts = append(txn.Puts, rowstore.Put{Table: o.o.Table, Key: key, Value: value})
+		}
+		workers = append(workers, w)
+	}
+	size := 0
+	for _, j := range o.jobs {
+		if j.gen == j.durable || j.rec == nil {
+			continue
+		}
+		if len(jobs) >= writeJobs || size > rowstore.MaxTxnBytes/2 {
+			break
+		}
+		value, err := json.Marshal(j.prog)
+		if err != nil {
+			o.o.Log.Event("progress_unwritable", "job", j.id, "err", err.Error())
+			continue
+		}
+		size += len(value)
+		key := workflow.ProgressPrefix + j.id
+		txn.Checks = append(txn.Checks, rowstore.Check{Table: o.o.Table, Key: key, Version: j.progVersion})
+		if j.prog.State.Final() && j.prog.State != workflow.StateCancelled && !j.cancelled {
+			// A cancellation that was confirmed first wins.
+			txn.Checks = append(txn.Checks, rowstore.Check{Table: o.o.Table, Key: workflow.CancelPrefix + j.id})
+		}
+		txn.Puts = append(txn.Puts, rowstore.Put{Table: o.o.Table, Key: key, Value: value})
+		jobs = append(jobs, written{j, j.gen, j.prog.State})
+	}
+	return txn, jobs, workers
+}
+
+// resolve takes over the rows that a transaction conflicted with.
+func (o *Owner) resolve(txn rowstore.Txn, conflict *rowstore.Conflict) {
+	current := map[string]rowstore.Row{}
+	for _, r := range conflict.Rows {
+		if !r.Deleted {
+			current[r.Key] = r
+		}
+	}
+	for _, c := range txn.Checks {
+		r, exists := current[c.Key]
+		if exists && r.Version == c.Version || !exists && c.Version == 0 {
+			continue
+		}
+		prefix, name := workflow.CutKey(c.Key)
+		switch prefix {
+		case workflow.ProgressPrefix:
+			if j := o.jobs[name]; j != nil {
+				if exists {
+					o.observeProgress(name, r)
+				} else {
+					j.progVersion = 0
+				}
+				j.gen++
+			}
+		case workflow.CancelPrefix:
+			if j := o.jobs[name]; j != nil && exists {
+				o.cancelLate(j)
+			}
+		case workflow.WorkerPrefix:
+			if w := o.workers[name]; w != nil {
+				w.row, w.rowVersion = exists, r.Version
+			}
+		}
+	}
+}
+
+// cancelLate cancels a job whose end was not durable when its cancellation was
+// confirmed.
+func (o *Owner) cancelLate(j *job) {
+	j.prog.State = ""
+	j.cancelled = false
+	o.cancelJob(j)
+}
--- /dev/null
+++ b/internal/taskplan/place.go
@@ -0,0 +1,331 @@
+package taskplan
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/parsleypier/parsleypier/internal/workflow"
+)
+
+// place starts a group's tasks, or keeps room for them and says why they wait.
+func (p *planner) place(g int) {
+	group := &p.s.Groups[g]
+	if len(group.Tasks) == 0 {
+		return
+	}
+	if group.Gang {
+		p.placeGang(g)
+		return
+	}
+	p.placeSingles(g)
+}
+
+// spot is a node with the number of tasks that it takes.
+type spot struct {
+	node, count int
+}
+
+// placeSingles starts as many tasks as fit, near their data first.
+func (p *planner) placeSingles(g int) {
+	group := &p.s.Groups[g]
+	left := group.Tasks
+	for _, near := range []bool{true, false} {
+		if near == false && !p.remotePays(group) {
+			break
+		}
+		for len(left) > 0 {
+			n := p.bestNode(g, near)
+			if n < 0 {
+				break
+			}
+			p.start(g, left[0], n, p.duration(group, n, false))
+			p.note(group, n)
+			left = left[1:]
+		}
+		if group.DataRack == "" {
+			break
+		}
+	}
+	if len(left) == 0 {
+		return
+	}
+	p.plan.Waits[g] = p.whyWaiting(g)
+	if group.Guaranteed {
+		p.preempt(g, len(left))
+	}
+}
+
+// note counts a planned task against the limit of tasks on a worker.
+func (p *planner) note(group *Group, n int) {
+	if group.MaxPerWorker == 0 {
+		return
+	}
+	if group.Present == nil {
+		group.Present = map[string]int{}
+	}
+	group.Present[p.nodes[n].ID]++
+}
+
+// remotePays reports whether a run away from the data is worth its longer time:
+// it must still be on time, or no run could be.
+func (p *planner) remotePays(g *Group) bool {
+	if g.DataRack == "" || !p.rackExists(g) {
+		return true
+	}
+	extra := time.Duration(float64(g.Expected) * (p.s.RemotePenalty - 1))
+	return p.s.Now+g.Chain+extra <= g.OnTime || p.s.Now+g.Chain > g.OnTime+extra
+}
+
+func (p *planner) rackExists(g *Group) bool {
+	return slices.ContainsFunc(p.nodes, func(n node) bool { return n.Rack == g.DataRack && n.eligible(g) })
+}
+
+// bestNode returns the node on which a task leaves the least behind, so that
+// whole workers stay free for large tasks; -1 if none has room.
+func (p *planner) bestNode(g int, near bool) int {
+	group := &p.s.Groups[g]
+	best, bestKey := -1, [4]float64{}
+	for n := range p.nodes {
+		w := &p.nodes[n]
+		if near == remote(group, w.Rack) || p.room(g, n) < 1 {
+			continue
+		}
+		after := w.Free.Add(group.Need, -1)
+		key := [4]float64{w.Slowdown, 0, float64(after.GPUs), float64(after.CPUMilli)}
+		if group.Avoid[w.ID] {
+			key[1] = 1
+		}
+		if best < 0 || slices.Compare(key[:], bestKey[:]) < 0 {
+			best, bestKey = n, key
+		}
+	}
+	return best
+}
+
+// placeGang starts all tasks of a gang together or none.
+func (p *planner) placeGang(g int) {
+	group := &p.s.Groups[g]
+	need := len(group.Tasks)
+	spots, spread := p.gangSpots(g, need, p.room)
+	if spots != nil {
+		slowest := time.Duration(0)
+		for _, s := range spots {
+			slowest = max(slowest, p.duration(group, s.node, spread))
+		}
+		i := 0
+		for _, s := range spots {
+			for range s.count {
+				p.start(g, group.Tasks[i], s.node, slowest)
+				p.note(group, s.node)
+				i++
+			}
+		}
+		return
+	}
+	p.plan.Waits[g] = p.whyWaiting(g)
+	if group.Guaranteed {
+		p.preempt(g, need)
+	}
+	if p.plan.Waits[g] != NeverFits && len(p.held) < maxReservations {
+		p.reserve(g, need)
+	}
+}
+
+// gangSpots returns places for n tasks: in one rack if the gang wants that, near
+// its data if it has some, and spread otherwise if that pays. spread says that a
+// gang which wants one rack gets several.
+func (p *planner) gangSpots(g, n int, room func(g, node int) int) (spots []spot, spread bool) {
+	group := &p.s.Groups[g]
+	if group.DataRack != "" {
+		if spots = p.fill(g, n, room, func(rack string) bool { return rack == group.DataRack }); spots != nil {
+			return spots, false
+		}
+	}
+	if group.SameRack || group.DataRack != "" {
+		if group.DataRack == "" || p.remotePays(group) {
+			if spots = p.oneRack(g, n, room); spots != nil {
+				return spots, false
+			}
+		}
+		if !p.spreadPays(g, n) {
+			return nil, false
+		}
+	}
+	spots = p.fill(g, n, room, func(string) bool { return true })
+	return spots, spots != nil && p.racks(spots) > 1
+}
+
+func (p *planner) racks(spots []spot) int {
+	seen := map[string]bool{}
+	for _, s := range spots {
+		seen[p.nodes[s.node].Rack] = true
+	}
+	return len(seen)
+}
+
+// oneRack returns places in the rack that is left with the least.
+func (p *planner) oneRack(g, n int, room func(g, node int) int) []spot {
+	var best []spot
+	bestFree := 0
+	seen := map[string]bool{}
+	for i := range p.nodes {
+		rack := p.nodes[i].Rack
+		if seen[rack] {
+			continue
+		}
+		seen[rack] = true
+		spots := p.fill(g, n, room, func(r string) bool { return r == rack })
+		if spots == nil {
+			continue
+		}
+		free := 0
+		for j := range p.nodes {
+			if p.nodes[j].Rack == rack {
+				free += p.nodes[j].Free.GPUs
+			}
+		}
+		if best == nil || free < bestFree {
+			best, bestFree = spots, free
+		}
+	}
+	return best
+}
+
+// spreadPays reports whether a gang that wants one rack should run on several:
+// no rack could ever hold it, or it is on time even so.
+func (p *planner) spreadPays(g, n int) bool {
+	group := &p.s.Groups[g]
+	if p.oneRack(g, n, p.capacity) == nil {
+		return true
+	}
+	extra := time.Duration(float64(group.Expected) * (p.s.RemotePenalty - 1))
+	return p.s.Now+group.Chain+extra <= group.OnTime || p.s.Now+group.Chain > group.OnTime+extra
+}
+
+// capacity returns how many tasks of the group an empty node holds.
+func (p *planner) capacity(g, n int) int {
+	group, w := &p.s.Groups[g], &p.nodes[n]
+	if !w.eligible(group) {
+		return 0
+	}
+	count := w.Capacity.Count(group.Need)
+	if group.MaxPerWorker > 0 {
+		count = min(count, group.MaxPerWorker)
+	}
+	return count
+}
+
+// fill returns places for n tasks on nodes of the racks that pass, using the
+// sound nodes that are left with the least first; nil if they do not fit.
+func (p *planner) fill(g, n int, room func(g, node int) int, pass func(rack string) bool) []spot {
+	group := &p.s.Groups[g]
+	var all []spot
+	total := 0
+	for i := range p.nodes {
+		if !pass(p.nodes[i].Rack) {
+			continue
+		}
+		if c := room(g, i); c > 0 {
+			all = append(all, spot{i, c})
+			total += c
+		}
+	}
+	if total < n {
+		return nil
+	}
+	slices.SortStableFunc(all, func(a, b spot) int {
+		wa, wb := &p.nodes[a.node], &p.nodes[b.node]
+		avoid := func(w *node) int {
+			if group.Avoid[w.ID] {
+				return 1
+			}
+			return 0
+		}
+		left := func(w *node, c int) int { return w.Free.Add(group.Need, -min(c, n)).GPUs }
+		return cmp.Or(cmp.Compare(wa.Slowdown, wb.Slowdown), cmp.Compare(avoid(wa), avoid(wb)),
+			cmp.Compare(left(wa, a.count), left(wb, b.count)), cmp.Compare(b.count, a.count),
+			cmp.Compare(wa.Free.CPUMilli, wb.Free.CPUMilli), cmp.Compare(wa.ID, wb.ID))
+	})
+	var out []spot
+	for _, s := range all {
+		s.count = min(s.count, n)
+		out = append(out, s)
+		if n -= s.count; n == 0 {
+			break
+		}
+	}
+	return out
+}
+
+// whyWaiting returns the reason for a group that was not placed whole.
+func (p *planner) whyWaiting(g int) Reason {
+	group := &p.s.Groups[g]
+	capable, free := 0, 0
+	usable := false
+	for n := range p.nodes {
+		usable = usable || p.nodes[n].eligible(group)
+		capable += p.capacity(g, n)
+		if p.nodes[n].eligible(group) {
+			free += p.nodes[n].Free.Count(group.Need)
+		}
+	}
+	need := 1
+	if group.Gang {
+		need = len(group.Tasks)
+	}
+	switch {
+	case !usable:
+		return NoWorker
+	case capable < need:
+		return NeverFits
+	case free < need:
+		return WaitsForRoom
+	case group.SameRack || group.DataRack != "":
+		return WaitsForRack
+	}
+	return WaitsForReserved
+}
+
+// reserve keeps room for a gang at the earliest time at which it fits, so that
+// smaller work does not take each place that becomes free.
+func (p *planner) reserve(g, n int) {
+	var times []time.Duration
+	for i := range p.s.Running {
+		if t := p.endOf(&p.s.Running[i]); t < 1<<62 {
+			times = append(times, t)
+		}
+	}
+	slices.Sort(times)
+	for _, t := range slices.Compact(times) {
+		roomAt := func(g, node int) int { return p.roomAt(g, node, t) }
+		spots, _ := p.gangSpots(g, n, roomAt)
+		if spots == nil {
+			continue
+		}
+		r := reservation{at: t, amount: map[int]workflow.Resources{}}
+		for _, s := range spots {
+			r.amount[s.node] = workflow.Resources{}.Add(p.s.Groups[g].Need, s.count)
+		}
+		p.held = append(p.held, r)
+		return
+	}
+}
+
+// roomAt returns how many tasks of the group fit on a node at a time, beside
+// what is reserved.
+func (p *planner) roomAt(g, n int, at time.Duration) int {
+	group, w := &p.s.Groups[g], &p.nodes[n]
+	if !w.eligible(group) || w.Probe {
+		return 0
+	}
+	free := p.freeAt(n, at)
+	for _, r := range p.held {
+		free = free.Add(r.amount[n], -1)
+	}
+	count := free.Count(group.Need)
+	if group.MaxPerWorker > 0 {
+		count = min(count, group.MaxPerWorker-group.Present[w.ID])
+	}
+	return max(count, 0)
+}
--- /dev/null
+++ b/internal/telemetry/bucket.go
@@ -0,0 +1,22 @@
+package telemetry
+
+import "time"
+
+var buckets = []struct {
+	bound time.Duration
+	name  string
+}{
+	{time.Millisecond, "le_1ms"}, {5 * time.Millisecond, "le_5ms"}, {20 * time.Millisecond, "le_20ms"},
+	{100 * time.Millisecond, "le_100ms"}, {500 * time.Millisecond, "le_500ms"}, {2 * time.Second, "le_2s"},
+	{10 * time.Second, "le_10s"}, {60 * time.Second, "le_60s"},
+}
+
+// Bucket returns the name of the histogram bucket that d falls into.
+func Bucket(d time.Duration) string {
+	for _, b := range buckets {
+		if d <= b.bound {
+			return b.name
+		}
+	}
+	return "above_60s"
+}
