Count a worker that does not answer its agent as lapsed after its lease

Cause: the agent of a dead worker kept reporting, so its runs never ended. Ruled out: the takeover, whose new owner adopted all other runs. Change: an unanswered renewal is repeated with the same end until the worker answers, and the agent reports when that end has passed on the slowest clock; stops back off. Conclusion: traced and mended; tests in internal/taskagent.

--- /dev/null
+++ b/internal/taskagent/agent_test.go
@@ -0,0 +1,350 @@
+package taskagent
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/parsleypier/parsleypier/internal/eventlog"
+	"github.com/parsleypier/parsleypier/internal/rpc"
+	"github.com/parsleypier/parsleypier/internal/taskrpc"
+	"github.com/parsleypier/parsleypier/internal/verdict"
+	"github.com/parsleypier/parsleypier/internal/workflow"
+)
+
+const testLease = 5 * time.Second
+
+// fakeWorker is a worker whose clock starts at 0 with the test.
+type fakeWorker struct {
+	mu     sync.Mutex
+	begun  time.Time
+	silent bool
+	// drop is the number of orders that are left unanswered, late those of them
+	// that are carried out by the test.
+	drop    int
+	running map[workflow.RunID]bool
+	ended   []taskrpc.End
+	stopped map[workflow.RunID]bool
+	starts  int
+	fence   uint64
+	lease   time.Duration
+	reject  string
+}
+
+func (w *fakeWorker) clock() time.Duration { return time.Since(w.begun) + time.Second }
+
+func (w *fakeWorker) unanswered(ctx context.Context) error {
+	w.mu.Lock()
+	lost := w.silent || w.drop > 0
+	if w.drop > 0 {
+		w.drop--
+	}
+	w.mu.Unlock()
+	if !lost {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (w *fakeWorker) Start(ctx context.Context, c StartCall) (Answer, error) {
+	if err := w.unanswered(ctx); err != nil {
+		return Answer{}, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.starts++
+	switch {
+	case w.reject != "":
+		return Answer{Clock: w.clock(), Rejected: w.reject}, nil
+	case w.stopped[c.ID]:
+		return Answer{Clock: w.clock(), Rejected: ReasonOld}, nil
+	case c.Deadline < w.clock():
+		return Answer{Clock: w.clock(), Rejected: ReasonLate}, nil
+	}
+	w.running[c.ID] = true
+	return Answer{Clock: w.clock()}, nil
+}
+
+func (w *fakeWorker) Stop(ctx context.Context, id workflow.RunID, _ uint64) (Answer, error) {
+	if err := w.unanswered(ctx); err != nil {
+		return Answer{}, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.running[id] {
+		w.end(id, workflow.EndStopped)
+	}
+	w.stopped[id] = true
+	return Answer{Clock: w.clock()}, nil
+}
+
+// end ends a run; the lock is held.
+func (w *fakeWorker) end(id workflow.RunID, kind workflow.EndKind) {
+	delete(w.running, id)
+	w.ended = append(w.ended, taskrpc.End{Seq: uint64(len(w.ended) + 1), ID: id, Kind: kind})
+}
+
+func (w *fakeWorker) Hold(ctx context.Context, c HoldCall) (Listing, error) {
+	if err := w.unanswered(ctx); err != nil {
+		return Listing{}, err
+	}
+	if c.Wait > 0 {
+		select {
+		case <-ctx.Done():
+			return Listing{}, ctx.Err()
+		case <-time.After(c.Wait):
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fence, w.lease = max(w.fence, c.Fence), max(w.lease, c.Deadline)
+	l := Listing{Answer: Answer{Clock: w.clock()}, Boot: 1}
+	for id := range w.running {
+		l.Running = append(l.Running, taskrpc.Run{ID: id, State: taskrpc.RunRunning})
+	}
+	for _, e := range w.ended {
+		if e.Seq > c.Noted {
+			l.Ended = append(l.Ended, e)
+		}
+	}
+	return l, nil
+}
+
+func (w *fakeWorker) Close() {}
+
+// fakeOwner answers the calls of agents.
+type fakeOwner struct {
+	mu    sync.Mutex
+	epoch uint64
+	down  bool
+	start []taskrpc.Start
+	stop  []workflow.RunID
+	last  taskrpc.SyncArgs
+}
+
+func (o *fakeOwner) Call(ctx context.Context, _, method string, args rpc.Headed, reply rpc.Failer) error {
+	sync, ok := args.(*taskrpc.SyncArgs)
+	if !ok {
+		return errors.New("unexpected " + method)
+	}
+	o.mu.Lock()
+	down := o.down
+	o.mu.Unlock()
+	if down {
+		return verdict.Refuse(verdict.CodeUnavailable, "down")
+	}
+	wait := time.NewTimer(sync.Wait / 10)
+	defer wait.Stop()
+	select {
+	case <-wait.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if sync.Seq > o.last.Seq {
+		o.last = *sync
+	}
+	r := reply.(*taskrpc.SyncReply)
+	r.Epoch = o.epoch
+	known := map[workflow.RunID]bool{}
+	for _, run := range sync.Runs {
+		known[run.ID] = true
+	}
+	for _, s := range o.start {
+		if !known[s.ID] {
+			r.Start = append(r.Start, s)
+		}
+	}
+	r.Stop = o.stop
+	return nil
+}
+
+func (o *fakeOwner) seen() taskrpc.SyncArgs {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.last
+}
+
+// rig is an agent between a fake owner and a fake worker, on virtual time.
+type rig struct {
+	agent  *Agent
+	worker *fakeWorker
+	owner  *fakeOwner
+}
+
+func run(t *testing.T, f func(t *testing.T, r *rig)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		r := &rig{
+			worker: &fakeWorker{begun: time.Now(), running: map[workflow.RunID]bool{}, stopped: map[workflow.RunID]bool{}},
+			owner:  &fakeOwner{epoch: 3},
+		}
+		r.agent = New(ctx, Options{
+			ID: "agent", Caller: r.owner, Log: eventlog.Discard(), Seeds: []string{"owner"}, Lease: testLease,
+			Connect: func(string, string) Worker { return r.worker },
+		})
+		r.agent.Heartbeat(taskrpc.Worker{ID: "w", Boot: 1, Capacity: workflow.Resources{CPUMilli: 64000, GPUs: 8}}, "addr", 1)
+		time.Sleep(time.Second)
+		f(t, r)
+		cancel()
+		r.agent.Wait()
+	})
+}
+
+func testRun(attempt int) workflow.RunID {
+	return workflow.RunID{Task: workflow.TaskID{Job: "5c0e7a21d94b36f8"}, Attempt: attempt}
+}
+
+func (r *rig) order(id workflow.RunID) {
+	r.owner.mu.Lock()
+	defer r.owner.mu.Unlock()
+	r.owner.start = []taskrpc.Start{{ID: id}}
+}
+
+// Guards against tasks that stay assigned for ever to a worker that died while
+// its agent lives: wusta-recell mix, seed 28533931903 (LOST).
+func TestSilentWorkerIsReportedAsLapsed(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		r.order(testRun(1))
+		time.Sleep(time.Second)
+		r.worker.mu.Lock()
+		r.worker.silent = true
+		lease := r.worker.lease
+		left := lease - r.worker.clock()
+		r.worker.mu.Unlock()
+		time.Sleep(left - 500*time.Millisecond)
+		if r.owner.seen().Worker.Lapsed {
+			t.Fatal("reported as lapsed while the worker's own lease still runs")
+		}
+		time.Sleep(4 * time.Second)
+		if w := r.owner.seen().Worker; !w.Lapsed || w.Silent == 0 {
+			t.Fatalf("silent worker is reported as %+v", w)
+		}
+	})
+}
+
+// Guards against a second start of the same attempt by an order that was left
+// unanswered, and against giving the order up.
+func TestUnansweredStartIsRepeated(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		r.worker.mu.Lock()
+		r.worker.drop = 2
+		r.worker.mu.Unlock()
+		r.order(testRun(1))
+		time.Sleep(2 * time.Second)
+		runs := r.owner.seen().Runs
+		if len(runs) != 1 || runs[0].State != taskrpc.RunRunning {
+			t.Fatalf("reported %+v, want the run", runs)
+		}
+	})
+}
+
+// Guards against a rejected order that an earlier, unanswered copy carries out
+// later: the run must be stopped for certain before it is reported as rejected.
+func TestRejectedStartIsStoppedFirst(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		r.worker.mu.Lock()
+		r.worker.drop, r.worker.reject = 1, ReasonRoom
+		r.worker.mu.Unlock()
+		r.order(testRun(1))
+		for range 100 {
+			time.Sleep(20 * time.Millisecond)
+			if runs := r.owner.seen().Runs; len(runs) == 1 && runs[0].State == taskrpc.RunRejected {
+				break
+			}
+		}
+		if runs := r.owner.seen().Runs; len(runs) != 1 || runs[0].State != taskrpc.RunRejected {
+			t.Fatalf("reported %+v, want a rejected run", runs)
+		}
+		r.worker.mu.Lock()
+		defer r.worker.mu.Unlock()
+		if !r.worker.stopped[testRun(1)] {
+			t.Fatal("the worker can still start the run that was reported as rejected")
+		}
+	})
+}
+
+// Guards against an order that arrives after its run was withdrawn.
+func TestStopOfUnknownRunPreventsItsStart(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		r.owner.mu.Lock()
+		r.owner.stop = []workflow.RunID{testRun(1)}
+		r.owner.mu.Unlock()
+		time.Sleep(time.Second)
+		r.order(testRun(1))
+		time.Sleep(time.Second)
+		r.worker.mu.Lock()
+		defer r.worker.mu.Unlock()
+		if !r.worker.stopped[testRun(1)] || r.worker.running[testRun(1)] {
+			t.Fatal("a withdrawn run was started")
+		}
+	})
+}
+
+// Guards against leases that outlive the owner's contact, after which the owner
+// starts the tasks elsewhere.
+func TestLeaseEndsAfterOwnerIsLost(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		r.owner.mu.Lock()
+		r.owner.down = true
+		r.owner.mu.Unlock()
+		lost := time.Now()
+		time.Sleep(3 * time.Second)
+		r.worker.mu.Lock()
+		defer r.worker.mu.Unlock()
+		end := lost.Add(r.worker.lease - r.worker.clock() + time.Since(lost))
+		if after := end.Sub(lost); after > testLease || after < testLease/2 {
+			t.Fatalf("the lease ends %v after the owner was lost, want up to %v", after, testLease)
+		}
+	})
+}
+
+// Guards against the start of work on a worker that is leaving.
+func TestDrainingWorkerStartsNothing(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		r.agent.Heartbeat(taskrpc.Worker{ID: "w", Boot: 1, Draining: true}, "addr", 2)
+		r.order(testRun(1))
+		time.Sleep(time.Second)
+		r.worker.mu.Lock()
+		defer r.worker.mu.Unlock()
+		if r.worker.starts > 0 {
+			t.Fatal("a draining worker was told to start a run")
+		}
+	})
+}
+
+// Guards against a delayed heartbeat that replaces a newer life of a worker or
+// takes back its draining.
+func TestLateHeartbeatsAreIgnored(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		r.agent.Heartbeat(taskrpc.Worker{ID: "w", Boot: 1, Draining: true}, "addr", 3)
+		r.agent.Heartbeat(taskrpc.Worker{ID: "w", Boot: 1}, "addr", 2)
+		r.agent.Heartbeat(taskrpc.Worker{ID: "w", Boot: 0}, "addr", 9)
+		time.Sleep(time.Second)
+		if w := r.owner.seen().Worker; !w.Draining || w.Boot != 1 {
+			t.Fatalf("reported %+v", w)
+		}
+	})
+}
+
+// Guards against a worker that still obeys an earlier owner when it is reported
+// to the new one.
+func TestWorkerIsFencedBeforeItCounts(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		r.owner.mu.Lock()
+		r.owner.epoch = 7
+		r.owner.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		r.worker.mu.Lock()
+		defer r.worker.mu.Unlock()
+		if got := r.owner.seen().Fence; got != 7 || r.worker.fence != 7 {
+			t.Fatalf("reported fence %d, the worker has %d, want 7", got, r.worker.fence)
+		}
+	})
+}
--- a/internal/taskagent/orders.go
+++ b/internal/taskagent/orders.go
@@ -85,6 +85,7 @@
 			ID: order.ID, Payload: order.Payload, Checkpoint: order.Checkpoint, Fence: s.fence,
 			Deadline: s.clockNow(time.Now()) + startWindow,
 		}
+		s.startsSent = time.Now()
 		s.mu.Unlock()
 		if refuse != "" {
 			reason = refuse
@@ -158,6 +159,7 @@
 }
 
 func (s *session) stopUntilAnswered(ctx context.Context, id workflow.RunID) bool {
+	pause := retryPause
 	for ctx.Err() == nil && !s.isOver() {
 		limited, cancel := context.WithTimeout(ctx, orderTimeout)
 		s.mu.Lock()
@@ -172,8 +174,11 @@
 			s.end(err.Error())
 			return false
 		}
-		s.a.o.Log.Event("stop_unanswered", "run", id.String(), "job", id.Task.Job, "worker", s.id, "reason", answer.Rejected)
-		retry.Sleep(ctx, retry.Jitter(2*retryPause))
+		if pause == retryPause {
+			s.a.o.Log.Event("stop_unanswered", "run", id.String(), "job", id.Task.Job, "worker", s.id, "reason", answer.Rejected)
+		}
+		retry.Sleep(ctx, retry.Jitter(2*pause))
+		pause = min(2*pause, maxRetryPause)
 	}
 	return false
 }
--- a/internal/taskagent/session.go
+++ b/internal/taskagent/session.go
@@ -24,6 +24,8 @@
 	holdPause = 200 * time.Millisecond
 	// retryPause is the mean delay after a call without an answer.
 	retryPause = 60 * time.Millisecond
+	// maxRetryPause bounds the pauses, which double for a worker that stays silent.
+	maxRetryPause = 500 * time.Millisecond
 	// clockSlow is the share by which a worker's clock may be slow.
 	clockSlow = 0.02
 )
@@ -63,12 +65,17 @@
 	// clock was the worker's clock no later than clockAt.
 	clock   time.Duration
 	clockAt time.Time
-	// inTouch is when the last call that the owner answered was sent.
-	inTouch  time.Time
-	listed   bool
-	answered time.Time // when the worker last answered
-	silent   bool
-	gone     bool
+	// inTouch is when the last call that the owner answered was sent, renewed the
+	// value of it from which the latest lease that was sent counts.
+	inTouch time.Time
+	renewed time.Time
+	open    bool // the last renewal was not answered
+	// startsSent is when the last order to start was sent; it is a short lease.
+	startsSent time.Time
+	listed     bool
+	answered   time.Time // when the worker last answered
+	silent     bool
+	gone       bool
 
 	dirty  chan struct{} // something to report
 	wake   chan struct{} // something to tell the worker
@@ -80,7 +87,8 @@
 func newSession(a *Agent, w taskrpc.Worker, addr string, seq uint64) *session {
 	return &session{
 		a: a, id: w.ID, boot: w.Boot, api: a.o.Connect(addr, w.ID), worker: w, seq: seq, answered: time.Now(),
-		runs: map[workflow.RunID]*localRun{}, over: map[workflow.RunID]bool{},
+		renewed: time.Now(), // an earlier process of this agent may have renewed leases until now
+		runs:    map[workflow.RunID]*localRun{}, over: map[workflow.RunID]bool{},
 		dirty: make(chan struct{}, 1), wake: make(chan struct{}, 1), cancel: func() {},
 	}
 }
@@ -228,6 +236,7 @@
 func (s *session) unanswered(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.open = true
 	if errors.Is(err, context.Canceled) || s.silent || time.Since(s.answered) < silentAfter {
 		return
 	}
@@ -243,7 +252,7 @@
 // heard takes note of the worker's clock. The lock is held.
 func (s *session) heard(clock time.Duration) {
 	now := time.Now()
-	s.answered = now
+	s.answered, s.open = now, false
 	if s.silent {
 		s.silent = false
 		s.a.o.Log.Event("worker_regained", "worker", s.id, "boot", s.boot)
@@ -270,9 +279,27 @@
 	if s.clockAt.IsZero() || s.inTouch.IsZero() {
 		return 0
 	}
-	return max(0, s.clockNow(s.inTouch)+s.a.o.Lease)
+	if !s.open {
+		// A worker may carry an unanswered renewal out at any later time: until it
+		// answers, it gets no later end than that one has.
+		s.renewed = s.inTouch
+	}
+	return max(0, s.clockNow(s.renewed)+s.a.o.Lease)
 }
 
+// lapsed reports whether everything on a silent worker has lost its lease, on
+// the slowest clock. The lock is held.
+func (s *session) lapsed() bool {
+	since := s.renewed
+	if s.startsSent.After(since) {
+		since = s.startsSent
+	}
+	return s.silent && time.Since(since) > time.Duration(float64(s.a.o.Lease)/(1-clockSlow))+lapseSlack
+}
+
+// lapseSlack covers what timers are late.
+const lapseSlack = 200 * time.Millisecond
+
 // take takes over a listing that was asked for at sent. The lock is held.
 func (s *session) take(l Listing, sent time.Time) {
 	changed := !s.listed
--- a/internal/taskagent/sync.go
+++ b/internal/taskagent/sync.go
@@ -85,7 +85,7 @@
 	w := s.worker
 	w.Gone = s.gone
 	if s.silent {
-		w.Silent = time.Since(s.answered)
+		w.Silent, w.Lapsed = time.Since(s.answered), s.lapsed()
 	}
 	args := &taskrpc.SyncArgs{
 		Agent: s.a.o.ID, Addr: s.a.o.Addr, Seq: s.syncSeq, Worker: w, Epoch: epoch, Fence: s.fence,
--- a/internal/taskowner/worker.go
+++ b/internal/taskowner/worker.go
@@ -140,6 +140,16 @@
 	}
 }
 
+// lapse ends all runs on a worker that does not answer its agent and whose
+// leases have run out. The worker need not have seen this owner's epoch.
+func (o *Owner) lapse(w *worker) {
+	if w.expected || len(w.runs) > 0 {
+		o.o.Log.Event("worker_expired", "worker", w.id, "agent", w.agent, "runs", len(w.runs), "expected", w.expected,
+			"silentMs", w.info.Silent.Milliseconds())
+		o.loseRuns(w, "lease lapsed")
+	}
+}
+
 // loseRuns ends all runs of a life of a worker that is over.
 func (o *Owner) loseRuns(w *worker, why string) {
 	w.expected = false
@@ -205,7 +215,9 @@
 		reply.Superseded = w != nil && args.Worker.Boot == w.boot
 		return
 	}
-	if args.Fence != o.o.Epoch && !args.Worker.Gone {
+	if args.Worker.Lapsed {
+		o.lapse(w)
+	} else if args.Fence != o.o.Epoch && !args.Worker.Gone {
 		w.lastReply = time.Now()
 		return // the agent makes the worker refuse earlier owners first
 	}
@@ -302,6 +314,9 @@
 			"expected", w.expected, "epoch", o.o.Epoch)
 	}
 	w.reported, w.expected = true, false
+	if args.Worker.Lapsed {
+		return nil
+	}
 	if w.lost {
 		w.lost = false
 		signal(o.dirty)
--- a/internal/taskrpc/taskrpc.go
+++ b/internal/taskrpc/taskrpc.go
@@ -35,6 +35,8 @@
 	Gone bool
 	// Silent is the time since the worker last answered its agent.
 	Silent time.Duration
+	// Lapsed says that all leases on the silent worker have run out for certain.
+	Lapsed bool
 }
 
 // RunState is the state of a run at its agent.
