Count a worker as ended when another answers at its address

Cause: after all machines lost power the next owner waited 10 s for workers of which the machines had started new ones under new names. Ruled out: slow registration (all had reported within 0.6 s). Change: a worker that has answered its agent at an address proves the end of earlier ones there.

--- a/internal/taskowner/cycle.go
+++ b/internal/taskowner/cycle.go
@@ -45,6 +45,7 @@
 func (o *Owner) cycle() {
 	o.endSplitGangs()
 	snap, groups := o.snapshot()
+	o.reportLoad(snap)
 	if len(snap.Groups) == 0 {
 		return
 	}
@@ -68,6 +69,28 @@
 	}
 }
 
+// reportLoad logs now and then how much of the workers is in use.
+func (o *Owner) reportLoad(snap *taskplan.Snapshot) {
+	if time.Since(o.loadReported) < loadInterval {
+		return
+	}
+	o.loadReported = time.Now()
+	total, free, usable, tasks, wanted := 0, 0, 0, 0, 0
+	for _, w := range snap.Workers {
+		total += w.Capacity.GPUs
+		if w.Usable {
+			usable++
+			free += w.Free.GPUs
+		}
+	}
+	for _, g := range snap.Groups {
+		tasks += len(g.Tasks)
+		wanted += len(g.Tasks) * g.Need.GPUs
+	}
+	o.o.Log.Event("load", "workers", len(snap.Workers), "usable", usable, "gpus", total, "freeGPUs", free,
+		"runs", len(snap.Running), "groupsWaiting", len(snap.Groups), "tasksWaiting", tasks, "gpusWanted", wanted)
+}
+
 func (o *Owner) workerOf(id workflow.RunID) *worker {
 	if j := o.jobs[id.Task.Job]; j != nil && j.runs != nil {
 		if r := j.runs[id.Task]; r != nil && r.id == id {
--- a/internal/taskowner/owner.go
+++ b/internal/taskowner/owner.go
@@ -93,6 +93,7 @@
 	gangStartShare = 0.6
 	announceLimit  = 500 * time.Millisecond
 	recallInterval = 700 * time.Millisecond
+	loadInterval   = time.Second
 )
 
 // Owner decides for the deployment during one epoch. It is safe for concurrent
@@ -113,9 +114,11 @@
 	// loaded says that all rows up to the takeover are known.
 	loaded   bool
 	recalled time.Time // when silent agents were last called
-	stopped  bool
-	kick     chan struct{} // something to decide
-	dirty    chan struct{} // something to write
+	// loadReported is when the load was last logged.
+	loadReported time.Time
+	stopped      bool
+	kick         chan struct{} // something to decide
+	dirty        chan struct{} // something to write
 }
 
 // New returns an owner that does nothing until Start.
@@ -274,7 +277,9 @@
 // workerRow is the value of a worker's row.
 type workerRow struct {
 	Addr string `json:"addr"` // of its agent
-	Boot int64  `json:"boot"`
+	// Listens is the worker's own address.
+	Listens string `json:"listens"`
+	Boot    int64  `json:"boot"`
 }
 
 func (o *Owner) observeWorker(id string, r rowstore.Row) {
@@ -292,7 +297,7 @@
 	}
 	if w == nil {
 		w = newWorker(id)
-		w.boot, w.addr, w.lastReply = row.Boot, row.Addr, time.Now()
+		w.boot, w.addr, w.lastReply, w.info.Addr = row.Boot, row.Addr, time.Now(), row.Listens
 		// A worker whose row an earlier owner wrote may run anything.
 		w.expected = true
 		o.workers[id] = w
--- a/internal/taskowner/worker.go
+++ b/internal/taskowner/worker.go
@@ -306,12 +306,23 @@
 	signal(o.dirty)
 }
 
+// replaced removes the workers that listened before at the address of a worker
+// which has answered its agent there: two processes cannot.
+func (o *Owner) replaced(w *worker) {
+	for _, other := range o.workers {
+		if other != w && other.info.Addr != "" && other.info.Addr == w.info.Addr && other.boot < w.boot && !other.lost {
+			o.removeWorker(other, "replaced by "+w.id)
+		}
+	}
+}
+
 // report takes over what an agent says of a worker, and returns the rejected
 // runs that it may forget.
 func (o *Owner) report(w *worker, args *taskrpc.SyncArgs) []workflow.RunID {
 	if !w.reported {
 		o.o.Log.Event("worker_reported", "worker", w.id, "agent", args.Agent, "boot", w.boot, "runs", len(args.Runs), "ends", len(args.Ends),
 			"expected", w.expected, "epoch", o.o.Epoch)
+		o.replaced(w)
 	}
 	w.reported, w.expected = true, false
 	if args.Worker.Lapsed {
--- a/internal/taskrpc/taskrpc.go
+++ b/internal/taskrpc/taskrpc.go
@@ -23,9 +23,11 @@
 type Worker struct {
 	ID string
 	// Boot tells two lives of a worker apart; it grows.
-	Boot     int64
-	Pool     string
-	Zone     string
+	Boot int64
+	Pool string
+	Zone string
+	// Addr is where the worker listens; one life of a worker at a time does.
+	Addr     string
 	Rack     string
 	Labels   []string
 	Capacity workflow.Resources
