Test the hosted daemon as processes on a stand-in; keep room for large tasks

Cause of the change in policy: single tasks of 8 GPUs waited up to 26 s while 26 to 33 GPUs were free in pieces. A cancellation that arrives while an end is not stored now wins (found by a test of the owner, failing before).

--- a/internal/taskowner/job.go
+++ b/internal/taskowner/job.go
@@ -144,6 +144,9 @@
 		return
 	}
 	o.o.Log.Event("job_cancelled", "job", j.id, "runs", len(j.runs))
+	if j.stored == "" {
+		j.prog.State = "" // an end that is not stored yet gives way
+	}
 	for _, r := range j.runs {
 		o.stopRun(r, "cancelled")
 	}
--- /dev/null
+++ b/internal/taskowner/owner_test.go
@@ -0,0 +1,350 @@
+package taskowner
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/parsleypier/parsleypier/internal/election"
+	"github.com/parsleypier/parsleypier/internal/eventlog"
+	"github.com/parsleypier/parsleypier/internal/rowstore"
+	"github.com/parsleypier/parsleypier/internal/rpc"
+	"github.com/parsleypier/parsleypier/internal/standin/rows"
+	"github.com/parsleypier/parsleypier/internal/taskplan"
+	"github.com/parsleypier/parsleypier/internal/taskrpc"
+	"github.com/parsleypier/parsleypier/internal/verdict"
+	"github.com/parsleypier/parsleypier/internal/workflow"
+)
+
+const (
+	testTable = "t"
+	testLease = 5 * time.Second
+	testJob   = "5c0e7a21d94b36f8"
+)
+
+type noCalls struct{}
+
+func (noCalls) Call(context.Context, string, string, rpc.Headed, rpc.Failer) error {
+	return verdict.Refuse(verdict.CodeUnavailable, "no network")
+}
+
+type testConfig struct{ gpus int }
+
+func (testConfig) Terms(string) (workflow.Terms, bool) {
+	return workflow.Terms{MaxAttempts: 2, Stretch: 3}, true
+}
+func (c testConfig) GuaranteedGPUs(string) int { return c.gpus }
+
+// rig is an owner over a table, with agents that the test plays.
+type rig struct {
+	t         *testing.T
+	table     *rows.Table
+	owner     *Owner
+	authority bool
+	seq       uint64
+}
+
+// play starts an owner of epoch 2 over what prepare has written, on virtual time.
+func play(t *testing.T, prepare func(r *rig), f func(r *rig)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		r := &rig{t: t, table: rows.New(), authority: true}
+		prepare(r)
+		version := r.table.Put(testTable, election.FenceKey, []byte("{}"))
+		store := r.table.For("owner")
+		mirror := rowstore.NewMirror(store, testTable, eventlog.Discard(), func(changed []rowstore.Row) {
+			if r.owner != nil {
+				r.owner.Observe(changed)
+			}
+		})
+		r.owner = New(Options{
+			ID: "owner", Addr: "owner", Epoch: 2, Version: version, Store: store, Mirror: mirror, Table: testTable,
+			Config: testConfig{}, Caller: noCalls{}, Log: eventlog.Discard(), Entries: func() []string { return nil },
+			Authority: func() bool { return r.authority }, NoticeEpoch: func(uint64) { r.authority = false },
+			Decide: taskplan.Decide, UnixMillis: func() int64 { return time.Now().UnixMilli() },
+			Times: Times{Lease: testLease, StopGrace: 200 * time.Millisecond, GangWait: 3 * time.Second, Reclaim: 2700 * time.Millisecond, RemotePenalty: 3, Kept: time.Minute},
+		})
+		go mirror.Run(ctx)
+		r.owner.Start()
+		time.Sleep(50 * time.Millisecond)
+		defer func() {
+			r.owner.Stop()
+			cancel()
+			synctest.Wait()
+		}()
+		f(r)
+	})
+}
+
+func (r *rig) accept(id string, steps ...workflow.Step) {
+	rec := workflow.Record{ID: id, Queue: "q", Account: "a", Spec: workflow.Spec{Steps: steps}, Terms: workflow.Terms{MaxAttempts: 2, Stretch: 3}}
+	value, err := json.Marshal(rec)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.table.Put(testTable, workflow.RecordPrefix+id, value)
+}
+
+func (r *rig) member(id, listens string, boot int64) {
+	value, err := json.Marshal(workerRow{"agent-" + id, listens, boot})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.table.Put(testTable, workflow.WorkerPrefix+id, value)
+}
+
+// report plays an agent's call for a worker.
+func (r *rig) report(id, listens string, boot int64, edit func(*taskrpc.SyncArgs)) *taskrpc.SyncReply {
+	r.seq++
+	args := &taskrpc.SyncArgs{
+		Agent: "agent-" + id, Addr: "agent-" + id, Seq: r.seq, Epoch: 2, Fence: 2, Wait: 300 * time.Millisecond,
+		Worker: taskrpc.Worker{ID: id, Boot: boot, Addr: listens, Rack: "r", Capacity: workflow.Resources{CPUMilli: 64000, MemoryMB: 1 << 18, GPUs: 8}},
+	}
+	if edit != nil {
+		edit(args)
+	}
+	reply := &taskrpc.SyncReply{}
+	r.owner.Sync(args, reply)
+	return reply
+}
+
+// starts reports idle workers until one is told to start something, for up to d.
+func (r *rig) starts(id, listens string, boot int64, d time.Duration) []taskrpc.Start {
+	for deadline := time.Now().Add(d); time.Now().Before(deadline); {
+		if reply := r.report(id, listens, boot, nil); len(reply.Start) > 0 {
+			return reply.Start
+		}
+	}
+	return nil
+}
+
+func step(tasks int) workflow.Step {
+	return workflow.Step{Tasks: tasks, Need: workflow.Resources{CPUMilli: 1000, MemoryMB: 100, GPUs: 1}, Estimate: 1000}
+}
+
+// progress returns the stored progress of the test's job.
+func (r *rig) progress() *workflow.Progress {
+	row, ok, err := r.table.For("test").Get(r.t.Context(), testTable, workflow.ProgressPrefix+testJob)
+	p := &workflow.Progress{}
+	if err != nil || ok && json.Unmarshal(row.Value, p) != nil {
+		r.t.Fatalf("progress is unreadable: %v", err)
+	}
+	return p
+}
+
+// Guards against a wait for the leases of workers whose machines have started
+// new ones: after a loss of power of all machines work stood still for 10 s.
+func TestReplacedWorkerIsNotWaitedFor(t *testing.T) {
+	play(t, func(r *rig) {
+		r.accept(testJob, step(1))
+		r.member("old", "10.0.0.1:80", 1)
+	}, func(r *rig) {
+		if got := r.starts("new", "10.0.0.1:80", 2, time.Second); len(got) != 1 {
+			t.Fatalf("starts %v within 1 s, want the job's task", got)
+		}
+	})
+}
+
+// Guards against a second run of a task that may still run on a worker which
+// does not report to a new owner, and against waiting for longer than its lease.
+func TestSilentMemberHoldsInheritedJobs(t *testing.T) {
+	play(t, func(r *rig) {
+		r.accept(testJob, step(1))
+		r.member("other", "10.0.0.2:80", 1)
+	}, func(r *rig) {
+		began := time.Now()
+		got := r.starts("w", "10.0.0.1:80", 1, 20*time.Second)
+		waited := time.Since(began)
+		if len(got) != 1 || waited < testLease || waited > testLease+time.Second {
+			t.Fatalf("starts %v after %v, want one after the lease of %v", got, waited, testLease)
+		}
+		if got[0].ID.Attempt <= 1 {
+			t.Fatalf("attempt %d may have been used by an earlier owner", got[0].ID.Attempt)
+		}
+	})
+}
+
+// Guards against jobs that wait for a silent worker although no earlier owner can
+// have started them.
+func TestNewJobsDoNotWaitForSilentMembers(t *testing.T) {
+	play(t, func(r *rig) { r.member("other", "10.0.0.2:80", 1) }, func(r *rig) {
+		r.accept(testJob, step(1))
+		if got := r.starts("w", "10.0.0.1:80", 1, time.Second); len(got) != 1 || got[0].ID.Attempt != 1 {
+			t.Fatalf("starts %v within 1 s, want attempt 1", got)
+		}
+	})
+}
+
+// Guards against an end that a worker forgets before it is stored.
+func TestEndIsNotedWhenDurable(t *testing.T) {
+	play(t, func(r *rig) {}, func(r *rig) {
+		r.accept(testJob, step(1))
+		got := r.starts("w", "a", 1, time.Second)
+		if len(got) != 1 {
+			t.Fatal("the task was not started")
+		}
+		time.Sleep(time.Second)
+		r.table.SetFaults(rows.Faults{Down: true})
+		ended := func(a *taskrpc.SyncArgs) {
+			a.Ends = []taskrpc.End{{Seq: 1, ID: got[0].ID, Kind: workflow.EndDone}}
+		}
+		for range 5 {
+			if reply := r.report("w", "a", 1, ended); reply.Noted != 0 {
+				t.Fatal("the end was noted while the store was away")
+			}
+		}
+		r.table.SetFaults(rows.Faults{})
+		for range 10 {
+			r.report("w", "a", 1, ended)
+		}
+		if reply := r.report("w", "a", 1, ended); reply.Noted != 1 || r.progress().State != workflow.StateCompleted {
+			t.Fatalf("noted %d, stored state %q, want the completed job", reply.Noted, r.progress().State)
+		}
+	})
+}
+
+// Guards against writes of an owner that was replaced before it noticed.
+func TestFormerOwnerWritesNothing(t *testing.T) {
+	play(t, func(r *rig) { r.accept(testJob, step(1)) }, func(r *rig) {
+		got := r.starts("w", "a", 1, time.Second)
+		time.Sleep(time.Second)
+		r.table.Put(testTable, election.FenceKey, []byte(`{"epoch":3}`))
+		r.report("w", "a", 1, func(a *taskrpc.SyncArgs) {
+			a.Ends = []taskrpc.End{{Seq: 1, ID: got[0].ID, Kind: workflow.EndDone}}
+		})
+		time.Sleep(time.Second)
+		if r.progress().State != "" || r.authority {
+			t.Fatalf("a former owner stored the state %q and goes on: %v", r.progress().State, r.authority)
+		}
+	})
+}
+
+// Guards against a job that ends as completed after its cancellation was
+// confirmed.
+func TestCancellationWinsOverUnstoredEnd(t *testing.T) {
+	play(t, func(r *rig) {}, func(r *rig) {
+		r.accept(testJob, step(1))
+		got := r.starts("w", "a", 1, time.Second)
+		r.table.Put(testTable, workflow.CancelPrefix+testJob, []byte("{}"))
+		r.report("w", "a", 1, func(a *taskrpc.SyncArgs) {
+			a.Ends = []taskrpc.End{{Seq: 1, ID: got[0].ID, Kind: workflow.EndDone}}
+		})
+		time.Sleep(time.Second)
+		if s := r.progress().State; s != workflow.StateCancelled {
+			t.Fatalf("stored state %q, want cancelled", s)
+		}
+	})
+}
+
+// Guards against orders to a worker that still obeys an earlier owner.
+func TestUnfencedWorkerReceivesNothing(t *testing.T) {
+	play(t, func(r *rig) { r.accept(testJob, step(1)) }, func(r *rig) {
+		for range 10 {
+			reply := r.report("w", "a", 1, func(a *taskrpc.SyncArgs) { a.Fence = 1 })
+			if len(reply.Start) > 0 {
+				t.Fatalf("starts %v on a worker of an earlier epoch", reply.Start)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
+
+// Guards against failed ends that count twice when they are reported again, and
+// against more runs than the queue's terms allow.
+func TestFailedRunsAreBounded(t *testing.T) {
+	play(t, func(r *rig) {}, func(r *rig) {
+		r.accept(testJob, step(1))
+		var ends []taskrpc.End
+		attempts := 0
+		for range 20 {
+			reply := r.report("w", "a", 1, func(a *taskrpc.SyncArgs) { a.Ends = ends })
+			for _, s := range reply.Start {
+				attempts++
+				ends = append(ends, taskrpc.End{Seq: uint64(len(ends) + 1), ID: s.ID, Kind: workflow.EndFailed})
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		if attempts != 2 || r.progress().State != workflow.StateFailed {
+			t.Fatalf("%d attempts, stored state %q, want 2 and failed", attempts, r.progress().State)
+		}
+	})
+}
+
+// Guards against a step that starts before the one it waits for is done, and
+// against a gang of which a member starts alone.
+func TestStepsAndGangsStartWhole(t *testing.T) {
+	play(t, func(r *rig) {}, func(r *rig) {
+		second := step(3)
+		second.After, second.Gang = []int{0}, true
+		r.accept(testJob, step(2), second)
+		first := r.starts("w", "a", 1, time.Second)
+		if len(first) != 2 || first[0].ID.Task.Step != 0 || first[1].ID.Task.Step != 0 {
+			t.Fatalf("starts %v, want the two tasks of the first step", first)
+		}
+		end := func(n int) func(*taskrpc.SyncArgs) {
+			return func(a *taskrpc.SyncArgs) {
+				for i := range n {
+					a.Ends = append(a.Ends, taskrpc.End{Seq: uint64(i + 1), ID: first[i].ID, Kind: workflow.EndDone})
+				}
+				for i := n; i < 2; i++ {
+					a.Runs = append(a.Runs, taskrpc.Run{ID: first[i].ID, State: taskrpc.RunRunning})
+				}
+			}
+		}
+		if reply := r.report("w", "a", 1, end(1)); len(reply.Start) > 0 {
+			t.Fatalf("starts %v while the first step runs", reply.Start)
+		}
+		var gang []taskrpc.Start
+		for range 10 {
+			if reply := r.report("w", "a", 1, end(2)); len(reply.Start) > 0 {
+				gang = reply.Start
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if len(gang) != 3 {
+			t.Fatalf("starts %v, want the gang of 3", gang)
+		}
+		for _, s := range gang {
+			if s.ID.Attempt != gang[0].ID.Attempt {
+				t.Fatalf("members have different attempts: %v", gang)
+			}
+		}
+	})
+}
+
+// Guards against runs of an unknown or ended job that go on without an owner.
+func TestStrangersAreStopped(t *testing.T) {
+	play(t, func(r *rig) {}, func(r *rig) {
+		stranger := workflow.RunID{Task: workflow.TaskID{Job: "ffffffffffffffff"}, Attempt: 1}
+		reply := r.report("w", "a", 1, func(a *taskrpc.SyncArgs) {
+			a.Runs = []taskrpc.Run{{ID: stranger, State: taskrpc.RunRunning}}
+		})
+		if len(reply.Stop) != 1 || reply.Stop[0] != stranger {
+			t.Fatalf("stops %v, want the stranger", reply.Stop)
+		}
+	})
+}
+
+// Guards against a silent agent whose runs are started elsewhere before the
+// worker's leases have run out.
+func TestRunsOfSilentAgentMoveAfterTheLease(t *testing.T) {
+	play(t, func(r *rig) {}, func(r *rig) {
+		r.accept(testJob, step(1))
+		first := r.starts("w1", "a", 1, time.Second)
+		r.report("w1", "a", 1, func(a *taskrpc.SyncArgs) {
+			a.Runs = []taskrpc.Run{{ID: first[0].ID, State: taskrpc.RunRunning}}
+		})
+		silent := time.Now()
+		got := r.starts("w2", "b", 1, 20*time.Second)
+		if after := time.Since(silent); len(got) != 1 || after < testLease {
+			t.Fatalf("starts %v after %v, want one after %v", got, after, testLease)
+		}
+		if got[0].ID.Attempt != first[0].ID.Attempt+1 {
+			t.Fatalf("attempt %d follows %d", got[0].ID.Attempt, first[0].ID.Attempt)
+		}
+	})
+}
--- a/internal/taskowner/persist.go
+++ b/internal/taskowner/persist.go
@@ -89,6 +89,9 @@
 	}
 	for _, wr := range jobs {
 		wr.job.progVersion, wr.job.durable, wr.job.stored = version, wr.gen, wr.state
+		if wr.state.Final() {
+			wr.job.prog.State = wr.state // a cancellation that came meanwhile is too late
+		}
 	}
 	for _, w := range workers {
 		w.row, w.rowVersion = members[w], version
@@ -151,7 +154,7 @@
 		size += len(value)
 		key := workflow.ProgressPrefix + j.id
 		txn.Checks = append(txn.Checks, rowstore.Check{Table: o.o.Table, Key: key, Version: j.progVersion})
-		if j.prog.State.Final() && j.prog.State != workflow.StateCancelled && !j.cancelled {
+		if j.prog.State.Final() && j.prog.State != workflow.StateCancelled && j.stored == "" {
 			// A cancellation that was confirmed first wins.
 			txn.Checks = append(txn.Checks, rowstore.Check{Table: o.o.Table, Key: workflow.CancelPrefix + j.id})
 		}
@@ -192,7 +195,8 @@
 			}
 		case workflow.CancelPrefix:
 			if j := o.jobs[name]; j != nil && exists {
-				o.cancelLate(j)
+				j.cancelled = false
+				o.cancelJob(j)
 			}
 		case workflow.WorkerPrefix:
 			if w := o.workers[name]; w != nil {
@@ -201,11 +205,3 @@
 		}
 	}
 }
-
-// cancelLate cancels a job whose end was not durable when its cancellation was
-// confirmed.
-func (o *Owner) cancelLate(j *job) {
-	j.prog.State = ""
-	j.cancelled = false
-	o.cancelJob(j)
-}
--- a/internal/taskplan/place.go
+++ b/internal/taskplan/place.go
@@ -53,6 +53,9 @@
 	}
 	p.plan.Waits[g] = p.whyWaiting(g)
 	p.preempt(g, len(left))
+	if w := p.plan.Waits[g]; w != NeverFits && w != WaitsForStops && len(p.held) < maxReservations && group.Need.GPUs >= largeTask {
+		p.reserve(g, 1)
+	}
 }
 
 // note counts a planned task against the limit of tasks on a worker.
--- a/internal/taskplan/preempt.go
+++ b/internal/taskplan/preempt.go
@@ -13,6 +13,9 @@
 	// requeueDelay is how long a stopped task is taken to wait until it starts
 	// again, on a busy system.
 	requeueDelay = 2 * time.Second
+	// redoWeight is the weight of work that is done again: it costs its own time,
+	// and that of the work which waits meanwhile.
+	redoWeight = 2
 	// claimShare is the part of the time for a claim on a guarantee that is spent
 	// waiting for room; the rest is for stops, a late report and the start.
 	claimShare = 0.3
@@ -163,7 +166,7 @@
 func (p *planner) stopCost(r *Running) float64 {
 	again := p.s.Now + p.s.StopGrace + requeueDelay + r.Redo + r.Rest
 	cost := r.At(p.endOf(r)+r.Rest) - r.At(again)
-	return max(cost, 0) + r.Worth*r.Lost/max(r.Area, 1)
+	return max(cost, 0) + redoWeight*r.Worth*r.Lost/max(r.Area, 1)
 }
 
 // nextVictim returns the victim that costs least for the capacity that it gives
--- a/internal/taskplan/taskplan.go
+++ b/internal/taskplan/taskplan.go
@@ -156,7 +156,10 @@
 	// urgencyScale is the slack, in mean run times, at which a job's urgency has
 	// fallen to 1/e: the usual parameter of the apparent tardiness cost rule.
 	urgencyScale = 2.0
-	// maxReservations bounds the waiting gangs for which room is kept, so that a
+	// largeTask is the number of GPUs from which a single task gets room kept: it
+	// takes half of a worker or more, which small tasks otherwise never leave free.
+	largeTask = 4
+	// maxReservations bounds the waiting groups for which room is kept, so that a
 	// decision stays short.
 	maxReservations = 3
 	// overdueShare is the part of its expected time that a run is given which has
--- /dev/null
+++ b/test/hosted/deployment.go
@@ -0,0 +1,246 @@
+// Package hosted runs the daemon as separate processes on the stand-in of the
+// users' platform, on loopback addresses.
+package hosted
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/parsleypier/parsleypier/internal/standin/rows"
+	"github.com/parsleypier/parsleypier/platform/stub"
+)
+
+// Ports of all processes; each has an address of its own in 127.0.0.0/8.
+const (
+	clientPort  = 18521
+	readyPort   = 18523
+	controlPort = 18526
+	firstPort   = 18600
+	workerPort  = 18529
+	storePort   = 18524
+)
+
+// Key and paths of the configuration that the deployment starts with.
+const (
+	Key    = "d4a3hwrr6x73d3zji9n7"
+	Host   = "nony24.example"
+	Urgent = "/pufi791/"
+	Batch  = "/pule252/"
+)
+
+const configuration = `{"version":%d,"routes":[
+ {"name":"r-urgent","host":"nony24.example","pathPrefix":"/pufi791/","timeoutMs":3000,"latencySloMs":250,"priority":0,"backend":"huvo11a","maxAttempts":2,"stretch":1.5},
+ {"name":"r-batch","host":"nony24.example","pathPrefix":"/pule252/","timeoutMs":3000,"latencySloMs":3000,"priority":2,"backend":"huvo11a","maxAttempts":3,"stretch":3.0}],
+ "services":[{"name":"huvo11a","enforcesCapacity":true}],"limits":{"maxBodyBytes":262144},
+ "tenants":[{"name":"kaje80","apiKeys":["d4a3hwrr6x73d3zji9n7"],"guaranteed":{"gpu":16}}]}`
+
+// Deployment is a running deployment.
+type Deployment struct {
+	Table   *rows.Table
+	Workers []*stub.Worker
+
+	bin, dir string
+	net      byte // second octet of all addresses
+	procs    map[string]*exec.Cmd
+	logs     map[string]*os.File
+	servers  []*http.Server
+	cancel   context.CancelFunc
+	client   *http.Client
+}
+
+// Start starts a deployment. network is 1 to 254 and must differ between
+// deployments that run at the same time. Logs go to files in dir.
+func Start(bin, dir string, network byte, entries, workers int, taskLength time.Duration) (*Deployment, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Deployment{
+		Table: rows.New(), bin: bin, dir: dir, net: network, procs: map[string]*exec.Cmd{}, logs: map[string]*os.File{}, cancel: cancel,
+		client: &http.Client{Timeout: 3 * time.Second},
+	}
+	d.Configure(1)
+	if err := d.serve(fmt.Sprintf("%s:%d", d.ip(0, 0), storePort), stub.Store(d.Table)); err != nil {
+		return d, err
+	}
+	for i := range entries {
+		if err := d.StartProcess(entryName(i)); err != nil {
+			return d, err
+		}
+	}
+	for i := range workers {
+		addr := fmt.Sprintf("%s:%d", d.ip(2, i), workerPort)
+		w := stub.NewWorker(fmt.Sprintf("i-%d", i), "huvo11a", "zone-a", fmt.Sprintf("r1-%d", i/3), addr, taskLength)
+		d.Workers = append(d.Workers, w)
+		if err := d.serve(addr, w.Handler()); err != nil {
+			return d, err
+		}
+		if err := d.StartProcess(agentName(i)); err != nil {
+			return d, err
+		}
+		go w.Report(ctx, fmt.Sprintf("%s:%d", d.ip(2, i), controlPort), 300*time.Millisecond)
+	}
+	return d, nil
+}
+
+// Configure writes a configuration as the operator does.
+func (d *Deployment) Configure(version int) {
+	d.Table.Put("op", "config", fmt.Appendf(nil, configuration, version))
+}
+
+func entryName(i int) string { return fmt.Sprintf("edge-%d", i) }
+func agentName(i int) string { return fmt.Sprintf("side-%d", i) }
+
+func (d *Deployment) ip(class, i int) string { return fmt.Sprintf("127.%d.%d.%d", d.net, class, i+1) }
+
+func (d *Deployment) serve(addr string, h http.Handler) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	d.servers = append(d.servers, s)
+	go func() {
+		// The error is that of the end of the deployment.
+		_ = s.Serve(l)
+	}()
+	return nil
+}
+
+// settings returns the settings file of a process.
+func (d *Deployment) settings(name string) string {
+	var class, i int
+	serves, extra := "edge", ""
+	if _, err := fmt.Sscanf(name, "edge-%d", &i); err == nil {
+		class = 1
+		extra = fmt.Sprintf("front = \"%s:%d\"\nreadiness = \"%s:%d\"\n", d.ip(1, i), clientPort, d.ip(1, i), readyPort)
+	} else if _, err := fmt.Sscanf(name, "side-%d", &i); err == nil {
+		class, serves = 2, "side"
+		extra = fmt.Sprintf("control = \"%s:%d\"\n", d.ip(2, i), controlPort)
+	}
+	return fmt.Sprintf(`nodeName = %q
+serves = [%q]
+ip = %q
+zone = "zone-a"
+portRange = [%d,%d]
+seeds = []
+heartbeatMs = 300
+backend = "huvo11a"
+[bindAddrs]
+%s[bounds]
+graceS = 4
+maxHoldMs = 6000
+killGraceMs = 200
+gangTimeoutMs = 3000
+reclaimMs = 2700
+visible_ms = 3000
+status_s = 120
+remotePenalty = 3
+[platform]
+address = "%s:%d"
+`, name, serves, d.ip(class, i), firstPort, firstPort+15, extra, d.ip(0, 0), storePort)
+}
+
+// StartProcess starts the process of a name once more.
+func (d *Deployment) StartProcess(name string) error {
+	file := filepath.Join(d.dir, name+".toml")
+	if err := os.WriteFile(file, []byte(d.settings(name)), 0o600); err != nil {
+		return err
+	}
+	if d.logs[name] == nil {
+		log, err := os.Create(filepath.Join(d.dir, name+".log"))
+		if err != nil {
+			return err
+		}
+		d.logs[name] = log
+	}
+	cmd := exec.Command(d.bin, "hosted")
+	cmd.Env = append(os.Environ(), "PARSLEYPIER_CONFIG="+file)
+	cmd.Stdout, cmd.Stderr = d.logs[name], d.logs[name]
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	d.procs[name] = cmd
+	return nil
+}
+
+// Signal sends a signal to the process of a name, and waits for its end if the
+// signal ends it.
+func (d *Deployment) Signal(name string, sig syscall.Signal) error {
+	cmd := d.procs[name]
+	if cmd == nil {
+		return fmt.Errorf("no process %s", name)
+	}
+	if err := cmd.Process.Signal(sig); err != nil {
+		return err
+	}
+	if sig == syscall.SIGKILL || sig == syscall.SIGTERM {
+		delete(d.procs, name)
+		if err := cmd.Wait(); err != nil && sig == syscall.SIGTERM {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return nil
+}
+
+// Stop ends everything that Start has started.
+func (d *Deployment) Stop() {
+	d.cancel()
+	for _, cmd := range d.procs {
+		if err := cmd.Process.Kill(); err == nil {
+			// The error is that of the signal.
+			_ = cmd.Wait()
+		}
+	}
+	for _, s := range d.servers {
+		s.Close()
+	}
+	for _, l := range d.logs {
+		l.Close()
+	}
+}
+
+// Call sends a client's call to an entry and returns the status and the body.
+func (d *Deployment) Call(entry int, method, path, key string, body any) (int, string, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return 0, "", err
+	}
+	req, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", d.ip(1, entry), clientPort, path), bytes.NewReader(data))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Host = Host
+	req.Header.Set("Api-Key", key)
+	req.Header.Set("Parsleypier-Deadline-Ms", "3000")
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(answer), err
+}
+
+// Ready reports whether an entry takes connections.
+func (d *Deployment) Ready(entry int) bool {
+	resp, err := d.client.Get(fmt.Sprintf("http://%s:%d/readiness", d.ip(1, entry), readyPort))
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Logs returns what a process has written.
+func (d *Deployment) Logs(name string) (string, error) {
+	data, err := os.ReadFile(filepath.Join(d.dir, name+".log"))
+	return string(data), err
+}
--- /dev/null
+++ b/test/hosted/hosted_test.go
@@ -0,0 +1,223 @@
+package hosted
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/parsleypier/parsleypier/internal/standin/rows"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "hosted")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "parsleypierd")
+	if out, err := exec.Command("go", "build", "-o", binary, "github.com/parsleypier/parsleypier/cmd/parsleypierd").CombinedOutput(); err != nil {
+		fmt.Printf("%s\n", out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func start(t *testing.T, network byte, entries, workers int, length time.Duration) *Deployment {
+	t.Helper()
+	d, err := Start(binary, t.TempDir(), network, entries, workers, length)
+	t.Cleanup(d.Stop)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range entries {
+		within(t, 10*time.Second, fmt.Sprintf("entry %d is ready", i), func() bool { return d.Ready(i) })
+	}
+	return d
+}
+
+func within(t *testing.T, limit time.Duration, what string, f func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(limit); ; time.Sleep(50 * time.Millisecond) {
+		if f() {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+type steps []map[string]any
+
+func job(s steps) map[string]any { return map[string]any{"spec": "text", "steps": s} }
+
+func one(tasks int) map[string]any {
+	return job(steps{{"count": tasks, "cpu": 1000, "memMb": 100, "gpu": 1, "estimateMs": 300}})
+}
+
+func (d *Deployment) submit(t *testing.T, entry int, path string, body any) {
+	t.Helper()
+	if status, answer, err := d.Call(entry, http.MethodPost, path, Key, body); err != nil || status != http.StatusOK {
+		t.Fatalf("submission of %s: status %d %s, %v", path, status, answer, err)
+	}
+}
+
+func (d *Deployment) state(entry int, path string) string {
+	_, answer, err := d.Call(entry, http.MethodGet, path, Key, nil)
+	if err != nil {
+		return err.Error()
+	}
+	return strings.TrimSpace(answer)
+}
+
+const (
+	completed = `{"state":"completed"}`
+	id1       = "5c0e7a21d94b36f8"
+	id2       = "5c0e7a21d94b36f9"
+)
+
+// Guards against a path from client to worker and back that is broken anywhere:
+// acceptance, steps, gangs, states at other entries, duplicates, cancellation,
+// counts and refusals.
+func TestWholePath(t *testing.T) {
+	d := start(t, 11, 2, 3, 300*time.Millisecond)
+	body := job(steps{
+		{"count": 4, "cpu": 1000, "memMb": 100, "gpu": 1, "estimateMs": 300},
+		{"count": 3, "cpu": 1000, "memMb": 100, "gpu": 8, "estimateMs": 300, "after": []int{0}, "gang": true},
+	})
+	d.submit(t, 0, Batch+id1, body)
+	d.submit(t, 1, Batch+id1, body) // the same job again at another entry
+	within(t, 10*time.Second, "the job is shown as completed at both entries", func() bool {
+		return d.state(0, Batch+id1) == completed && d.state(1, Batch+id1) == completed
+	})
+	for _, w := range d.Workers {
+		for task, n := range w.Starts() {
+			if n > 1 {
+				t.Errorf("task %s was started %d times", task, n)
+			}
+		}
+	}
+	d.submit(t, 0, Urgent+id2, one(1))
+	if status, _, err := d.Call(1, http.MethodDelete, Urgent+id2, Key, nil); err != nil || status != http.StatusOK {
+		t.Errorf("cancellation: status %d, %v", status, err)
+	}
+	within(t, 3*time.Second, "the job is shown as cancelled", func() bool { return d.state(0, Urgent+id2) == `{"state":"canceled"}` })
+	for _, c := range []struct {
+		name, method, path, key string
+		body                    any
+		want                    int
+	}{
+		{"unknown job", http.MethodGet, Batch + "ffffffffffffffff", Key, nil, http.StatusGone},
+		{"unknown queue", http.MethodPost, "/nowhere/" + id1, Key, one(1), http.StatusNotFound},
+		{"unknown key", http.MethodPost, Batch + id1, "wrong", one(1), http.StatusUnauthorized},
+		{"malformed ID", http.MethodPost, Batch + "xyz", Key, one(1), http.StatusNotFound},
+		{"no steps", http.MethodPost, Batch + "aaaaaaaaaaaaaaaa", Key, job(nil), http.StatusBadRequest},
+		{"wrong type", http.MethodPost, Batch + "aaaaaaaaaaaaaaaa", Key, map[string]any{"steps": "x"}, http.StatusBadRequest},
+		{"too large", http.MethodPost, Batch + "aaaaaaaaaaaaaaaa", Key, map[string]any{"spec": strings.Repeat("x", 300<<10)}, http.StatusRequestEntityTooLarge},
+		{"count", http.MethodGet, Batch, Key, nil, http.StatusOK},
+	} {
+		if status, answer, err := d.Call(0, c.method, c.path, c.key, c.body); err != nil || status != c.want {
+			t.Errorf("%s: status %d %s, %v, want %d", c.name, status, answer, err, c.want)
+		}
+	}
+}
+
+// Guards against tasks that are lost or run twice when the owner is killed, and
+// against a deployment that stands still without it.
+func TestOwnerKilled(t *testing.T) {
+	d := start(t, 12, 2, 3, time.Second)
+	for i := range 6 {
+		d.submit(t, 1, fmt.Sprintf("%s%016x", Batch, i+1), one(4))
+	}
+	owner := ""
+	within(t, 5*time.Second, "an owner is known", func() bool {
+		for i := range 2 {
+			if logs, err := d.Logs(entryName(i)); err == nil && strings.Contains(logs, `"ownership_acquired"`) {
+				owner = entryName(i)
+			}
+		}
+		return owner != ""
+	})
+	if err := d.Signal(owner, syscall.SIGKILL); err != nil {
+		t.Fatal(err)
+	}
+	other := 1
+	if owner == entryName(1) {
+		other = 0
+	}
+	within(t, 15*time.Second, "all jobs are completed", func() bool {
+		for i := range 6 {
+			if d.state(other, fmt.Sprintf("%s%016x", Batch, i+1)) != completed {
+				return false
+			}
+		}
+		return true
+	})
+	for _, w := range d.Workers {
+		for task, n := range w.Starts() {
+			if n > 1 {
+				t.Errorf("task %s was started %d times on %s", task, n, w.ID)
+			}
+		}
+	}
+}
+
+// Guards against a refusal that is untrue while the store is away, and against
+// running work that is lost with it.
+func TestStoreAway(t *testing.T) {
+	d := start(t, 13, 1, 2, time.Second)
+	d.submit(t, 0, Batch+id1, one(2))
+	d.Table.SetFaults(rows.Faults{Down: true})
+	status, _, err := d.Call(0, http.MethodPost, Batch+id2, Key, one(1))
+	if err != nil || status != http.StatusServiceUnavailable {
+		t.Errorf("submission while the store is away: status %d, %v, want 503", status, err)
+	}
+	time.Sleep(2 * time.Second)
+	d.Table.SetFaults(rows.Faults{})
+	within(t, 8*time.Second, "the job is completed", func() bool { return d.state(0, Batch+id1) == completed })
+	if status, _, err := d.Call(0, http.MethodGet, Batch+id2, Key, nil); err != nil || status != http.StatusGone {
+		t.Errorf("the refused job is answered with %d, %v, want 410", status, err)
+	}
+}
+
+// Guards against requests that are cut off and work that is lost in a graceful
+// shutdown of an entry and of an agent.
+func TestGracefulShutdown(t *testing.T) {
+	d := start(t, 14, 2, 2, 2*time.Second)
+	d.submit(t, 0, Batch+id1, one(4))
+	within(t, 5*time.Second, "the job runs", func() bool { return d.state(1, Batch+id1) == `{"state":"running"}` })
+	if err := d.Signal(agentName(0), syscall.SIGTERM); err != nil {
+		t.Error(err)
+	}
+	if err := d.StartProcess(agentName(0)); err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- d.Signal(entryName(0), syscall.SIGTERM) }()
+	for range 20 {
+		if status, _, err := d.Call(0, http.MethodGet, Batch+id1, Key, nil); err == nil && status != http.StatusOK {
+			t.Errorf("an entry that leaves answers with %d", status)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	within(t, 12*time.Second, "the job is completed", func() bool { return d.state(1, Batch+id1) == completed })
+	for _, w := range d.Workers {
+		for task, n := range w.Starts() {
+			if n > 1 {
+				t.Errorf("task %s was started %d times on %s", task, n, w.ID)
+			}
+		}
+	}
+}
