Choose preemption victims by worker, and only those that are needed

Change: victims are chosen worker by worker, and those that turn out not to be needed are kept; claims wait longer for room that becomes free; the earliest start is found by halving.

--- a/internal/taskplan/place.go
+++ b/internal/taskplan/place.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/parsleypier/parsleypier/internal/workflow"
@@ -156,6 +157,16 @@
 	return spots, spots != nil && p.racks(spots) > 1
 }
 
+// rackNames lists the racks of all nodes.
+func (p *planner) rackNames() []string {
+	var names []string
+	for i := range p.nodes {
+		names = append(names, p.nodes[i].Rack)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 func (p *planner) racks(spots []spot) int {
 	seen := map[string]bool{}
 	for _, s := range spots {
@@ -319,13 +330,17 @@
 		}
 	}
 	slices.Sort(times)
-	for _, t := range slices.Compact(times) {
-		roomAt := func(g, node int) int { return p.roomAt(g, node, t) }
-		if spots, _ := p.gangSpots(g, n, roomAt); spots != nil {
-			return t, spots
-		}
+	times = slices.Compact(times)
+	spotsAt := func(i int) []spot {
+		spots, _ := p.gangSpots(g, n, func(g, node int) int { return p.roomAt(g, node, times[i]) })
+		return spots
+	}
+	// What is free only grows with time, so that the first time is found by halving.
+	first := sort.Search(len(times), func(i int) bool { return spotsAt(i) != nil })
+	if first == len(times) {
+		return 0, nil
 	}
-	return 0, nil
+	return times[first], spotsAt(first)
 }
 
 // roomAt returns how many tasks of the group fit on a node at a time, beside
--- a/internal/taskplan/preempt.go
+++ b/internal/taskplan/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -18,7 +19,7 @@
 	redoWeight = 2
 	// claimShare is the part of the time for a claim on a guarantee that is spent
 	// waiting for room; the rest is for stops, a late report and the start.
-	claimShare = 0.3
+	claimShare = 0.45
 )
 
 // mayPreempt reports whether runs should be stopped for a waiting group now:
@@ -45,42 +46,190 @@
 		return
 	}
 	group := &p.s.Groups[g]
-	victims := p.victims(group)
-	soon := p.soonFree()
-	var chosen []int
-	cost := 0.0
-	gained := func(node int) workflow.Resources { return soon[node] }
-	for n > 0 {
-		if spots, _ := p.gangSpots(g, n, p.roomWith(gained)); spots != nil {
-			if !group.Guaranteed && cost >= group.Worth-group.LateWorth {
-				return
+	x := &eviction{p: p, g: g, soon: p.soonFree(), victims: p.victims(group)}
+	if !group.Gang {
+		n = min(n, x.most()) // singles: make room for as many as possible
+	}
+	if n == 0 || !x.makeRoom(n) {
+		return
+	}
+	x.prune(n)
+	if !group.Guaranteed && x.cost() >= group.Worth-group.LateWorth {
+		return
+	}
+	for _, v := range x.chosen {
+		for _, i := range x.victims[v].runs {
+			p.stop(i, g)
+		}
+	}
+	p.plan.Waits[g] = WaitsForStops
+	p.holdNow(g, x.spots(n))
+}
+
+// eviction chooses the runs that are stopped for a group.
+type eviction struct {
+	p       *planner
+	g       int
+	victims []victim
+	chosen  []int
+	soon    []workflow.Resources // what is given back, by node
+}
+
+// spots returns the places that the group's tasks get, or nil.
+func (x *eviction) spots(n int) []spot {
+	spots, _ := x.p.gangSpots(x.g, n, x.room)
+	return spots
+}
+
+// room returns how many tasks fit on a node with what is given back.
+func (x *eviction) room(g, n int) int {
+	group, w := &x.p.s.Groups[g], &x.p.nodes[n]
+	if !w.eligible(group) || w.Probe {
+		return 0
+	}
+	count := w.Free.Add(x.soon[n], 1).Count(group.Need)
+	if group.MaxPerWorker > 0 {
+		count = min(count, group.MaxPerWorker-group.Present[w.ID])
+	}
+	return max(count, 0)
+}
+
+func (x *eviction) cost() float64 {
+	sum := 0.0
+	for _, v := range x.chosen {
+		sum += x.victims[v].cost
+	}
+	return sum
+}
+
+// give adds what a victim's end gives back; sign -1 takes it back.
+func (x *eviction) give(v, sign int) {
+	for _, i := range x.victims[v].runs {
+		r := &x.p.s.Running[i]
+		if node, ok := x.p.index[r.Worker]; ok {
+			x.soon[node] = x.soon[node].Add(r.Need, sign)
+		}
+	}
+}
+
+// most returns how many tasks would fit if all victims were stopped.
+func (x *eviction) most() int {
+	for v := range x.victims {
+		x.give(v, 1)
+	}
+	total := 0
+	for n := range x.p.nodes {
+		total += x.room(x.g, n)
+	}
+	for v := range x.victims {
+		x.give(v, -1)
+	}
+	return total
+}
+
+// makeRoom chooses victims node by node, each time where room for one more task
+// costs least, until n tasks fit. For a group that wants one rack it does so in
+// the rack where that costs least.
+func (x *eviction) makeRoom(n int) bool {
+	group := &x.p.s.Groups[x.g]
+	if !group.SameRack && group.DataRack == "" {
+		return x.fill(n, func(string) bool { return true })
+	}
+	best, bestCost, before := []int(nil), math.Inf(1), slices.Clone(x.soon)
+	for _, rack := range x.p.rackNames() {
+		x.chosen = nil
+		if (group.DataRack == "" || group.DataRack == rack) && x.fill(n, func(r string) bool { return r == rack }) && x.cost() < bestCost {
+			best, bestCost = append([]int{}, x.chosen...), x.cost()
+		}
+		copy(x.soon, before)
+	}
+	x.chosen = nil
+	if best == nil {
+		return x.fill(n, func(string) bool { return true })
+	}
+	for _, v := range best {
+		x.give(v, 1)
+	}
+	x.chosen = best
+	return true
+}
+
+func (x *eviction) fill(n int, pass func(rack string) bool) bool {
+	for x.spots(n) == nil {
+		best, bestCost := []int(nil), math.Inf(1)
+		for node := range x.p.nodes {
+			if !pass(x.p.nodes[node].Rack) {
+				continue
 			}
-			for _, v := range chosen {
-				for _, i := range victims[v].runs {
-					p.stop(i, g)
-				}
+			if set, cost := x.oneMore(node); set != nil && cost < bestCost {
+				best, bestCost = set, cost
 			}
-			p.plan.Waits[g] = WaitsForStops
-			p.holdNow(g, spots)
-			return
 		}
-		v := p.nextVictim(group, victims, chosen, soon)
-		if v < 0 {
-			if group.Gang || n == 1 {
-				return
-			}
-			n-- // singles: make room for as many as possible
+		if best == nil {
+			return false
+		}
+		for _, v := range best {
+			x.give(v, 1)
+		}
+		x.chosen = append(x.chosen, best...)
+	}
+	return true
+}
+
+// oneMore returns the victims on a node that cost least for room for one more
+// task there; nil if there are none.
+func (x *eviction) oneMore(node int) (set []int, cost float64) {
+	if !x.p.nodes[node].eligible(&x.p.s.Groups[x.g]) {
+		return nil, 0
+	}
+	type candidate struct {
+		v    int
+		back workflow.Resources
+	}
+	var here []candidate
+	for v := range x.victims {
+		if slices.Contains(x.chosen, v) {
 			continue
 		}
-		chosen = append(chosen, v)
-		cost += victims[v].cost
-		for _, i := range victims[v].runs {
-			r := &p.s.Running[i]
-			if node, ok := p.index[r.Worker]; ok {
-				soon[node] = soon[node].Add(r.Need, 1)
+		back := workflow.Resources{}
+		for _, i := range x.victims[v].runs {
+			if r := &x.p.s.Running[i]; x.p.index[r.Worker] == node {
+				back = back.Add(r.Need, 1)
 			}
 		}
+		if back != (workflow.Resources{}) {
+			here = append(here, candidate{v, back})
+		}
+	}
+	slices.SortStableFunc(here, func(a, b candidate) int {
+		return cmp.Compare(x.victims[a.v].cost/max(float64(a.back.GPUs), 0.5), x.victims[b.v].cost/max(float64(b.back.GPUs), 0.5))
+	})
+	had, before := x.room(x.g, node), x.soon[node]
+	defer func() { x.soon[node] = before }()
+	for _, c := range here {
+		x.soon[node] = x.soon[node].Add(c.back, 1)
+		set = append(set, c.v)
+		cost += x.victims[c.v].cost + minStopCost
+		if x.room(x.g, node) > had {
+			return set, cost
+		}
 	}
+	return nil, 0
+}
+
+// prune gives up the victims without which n tasks fit as well, the most costly
+// first.
+func (x *eviction) prune(n int) {
+	slices.SortStableFunc(x.chosen, func(a, b int) int { return cmp.Compare(x.victims[b].cost, x.victims[a].cost) })
+	kept := []int{}
+	for _, v := range x.chosen {
+		x.give(v, -1)
+		if x.spots(n) == nil {
+			x.give(v, 1)
+			kept = append(kept, v)
+		}
+	}
+	x.chosen = kept
 }
 
 // holdNow keeps the room that is being made from the groups that come later.
@@ -111,22 +260,6 @@
 	return soon
 }
 
-// roomWith returns a function that counts the tasks which fit beside what runs
-// once more capacity is given back.
-func (p *planner) roomWith(more func(node int) workflow.Resources) func(g, n int) int {
-	return func(g, n int) int {
-		group, w := &p.s.Groups[g], &p.nodes[n]
-		if !w.eligible(group) || w.Probe {
-			return 0
-		}
-		count := w.Free.Add(more(n), 1).Count(group.Need)
-		if group.MaxPerWorker > 0 {
-			count = min(count, group.MaxPerWorker-group.Present[w.ID])
-		}
-		return max(count, 0)
-	}
-}
-
 // victim is a run, or all runs of a gang, which end together.
 type victim struct {
 	runs []int
@@ -169,47 +302,5 @@
 	return max(cost, 0) + redoWeight*r.Worth*r.Lost/max(r.Area, 1)
 }
 
-// nextVictim returns the victim that costs least for the capacity that it gives
-// back where the group may run; -1 if there is none.
-func (p *planner) nextVictim(group *Group, victims []victim, chosen []int, soon []workflow.Resources) int {
-	best, bestCost := -1, 0.0
-	for v := range victims {
-		if slices.Contains(chosen, v) {
-			continue
-		}
-		useful := 0.0
-		for _, i := range victims[v].runs {
-			r := &p.s.Running[i]
-			n, ok := p.index[r.Worker]
-			if !ok || !p.nodes[n].eligible(group) {
-				continue
-			}
-			before := p.nodes[n].Free.Add(soon[n], 1)
-			useful += missing(before, group.Need, r.Need)
-		}
-		if useful <= 0 {
-			continue
-		}
-		if cost := (victims[v].cost + minStopCost) / useful; best < 0 || cmp.Less(cost, bestCost) {
-			best, bestCost = v, cost
-		}
-	}
-	return best
-}
-
 // minStopCost makes a stop that loses nothing cost something.
 const minStopCost = 0.05
-
-// missing returns how much of what a node lacks for one more task a run would
-// give back, as a share of the need.
-func missing(free, need, back workflow.Resources) float64 {
-	share := func(free, need, back int) float64 {
-		if need == 0 {
-			return 0
-		}
-		lacks := need - max(free, 0)%need
-		return float64(min(lacks, back)) / float64(need)
-	}
-	return share(free.GPUs, need.GPUs, back.GPUs) + 0.1*share(free.CPUMilli, need.CPUMilli, back.CPUMilli) +
-		0.1*share(free.MemoryMB, need.MemoryMB, back.MemoryMB)
-}
