--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -36,10 +36,7 @@
 	// then how often, the other entries are asked. It is above a usual renewal.
 	confirmInterval = 300 * time.Millisecond
 	// tick is how often the state is looked at; it adds to a takeover.
-	tick = 50 * time.Millisecond
-	// freshAge is the age of the mirror up to which a candidate can tell that the
-	// row was not renewed.
-	freshAge    = 1500 * time.Millisecond
+	tick        = 50 * time.Millisecond
 	callTimeout = 1400 * time.Millisecond
 )
 
@@ -216,8 +213,7 @@
 
 // mayTake reports whether the row is free. It is called with the lock held.
 func (e *Elector) mayTake() bool {
-	age, loaded := e.o.Mirror.Age()
-	if !loaded || age > freshAge || e.stopping {
+	if !e.o.Mirror.InTouch() || e.stopping {
 		// The row may have been renewed unseen: the time begins again.
 		e.changed = time.Now()
 		return false
--- a/internal/rowstore/mirror.go
+++ b/internal/rowstore/mirror.go
@@ -40,8 +40,10 @@
 	version uint64
 	loaded  bool
 	freshAt time.Time // start of the last call that succeeded
-	down    bool
-	changed chan struct{} // closed with each advance
+	// answeredAt is when it was answered.
+	answeredAt time.Time
+	down       bool
+	changed    chan struct{} // closed with each advance
 }
 
 // NewMirror returns an empty mirror; Run fills it. onChange may be nil.
@@ -139,7 +141,7 @@
 	}
 	m.mu.Lock()
 	m.version = max(m.version, page.Version)
-	m.loaded, m.freshAt = true, started
+	m.loaded, m.freshAt, m.answeredAt = true, started, time.Now()
 	regained := m.down
 	m.down = false
 	close(m.changed)
@@ -206,7 +208,7 @@
 func (m *Mirror) InTouch() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.loaded && !m.down && time.Since(m.freshAt) < feedWait+overdue
+	return m.loaded && !m.down && time.Since(m.answeredAt) < feedWait+overdue
 }
 
 // WaitFor waits until the mirror has reached the version. The error is ctx's.
