--- a/internal/rowstore/mirror.go
+++ b/internal/rowstore/mirror.go
@@ -34,6 +34,9 @@
 	log   *eventlog.Log
 	// onChange receives the rows that changed, in order, from one goroutine.
 	onChange func([]Row)
+	// Pace returns the pause after an answer with changes, in which more of them
+	// gather; nil for none. It is set before Run.
+	Pace func() time.Duration
 
 	mu      sync.Mutex
 	rows    map[string]Row
@@ -83,6 +86,9 @@
 		return err
 	}
 	m.apply(page, started, false)
+	if len(page.Rows) > 0 && m.Pace != nil {
+		retry.Sleep(ctx, m.Pace())
+	}
 	return nil
 }
 
--- a/internal/taskagent/agent_test.go
+++ b/internal/taskagent/agent_test.go
@@ -32,6 +32,10 @@
 	fence   uint64
 	lease   time.Duration
 	reject  string
+	// lose is the number of starts that are carried out without an answer.
+	lose int
+	// grace is how long a stopped run goes on.
+	grace time.Duration
 }
 
 func (w *fakeWorker) clock() time.Duration { return time.Since(w.begun) + time.Second }
@@ -57,6 +61,14 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.starts++
+	if w.lose > 0 {
+		w.lose--
+		w.running[c.ID] = true
+		w.mu.Unlock()
+		<-ctx.Done()
+		w.mu.Lock()
+		return Answer{}, ctx.Err()
+	}
 	switch {
 	case w.reject != "":
 		return Answer{Clock: w.clock(), Rejected: w.reject}, nil
@@ -75,7 +87,13 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.running[id] {
+	if w.running[id] && w.grace > 0 {
+		time.AfterFunc(w.grace, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.end(id, workflow.EndStopped)
+		})
+	} else if w.running[id] {
 		w.end(id, workflow.EndStopped)
 	}
 	w.stopped[id] = true
@@ -270,6 +288,41 @@
 	})
 }
 
+// Guards against a run that is reported as rejected while it still runs: its
+// start was carried out without an answer, the next try was refused, and it goes
+// on for a while after its stop. andrade-sleeves-grown trouble-3, seed
+// 718669109669 (TWICE).
+func TestRejectedStartThatRunsIsNoRejection(t *testing.T) {
+	stopped := 0
+	for phase := range 10 { // of the listings, of which one can show the run before the next try
+		run(t, func(t *testing.T, r *rig) {
+			time.Sleep(time.Duration(phase) * 100 * time.Millisecond)
+			r.worker.mu.Lock()
+			r.worker.lose, r.worker.reject, r.worker.grace = 1, ReasonUnhealthy, 400*time.Millisecond
+			r.worker.mu.Unlock()
+			r.order(testRun(1))
+			for range 300 {
+				time.Sleep(10 * time.Millisecond)
+				seen := r.owner.seen()
+				r.worker.mu.Lock()
+				running := r.worker.running[testRun(1)]
+				r.worker.mu.Unlock()
+				for _, rep := range seen.Runs {
+					if rep.State == taskrpc.RunRejected && running {
+						t.Fatalf("phase %d: a run that still runs is reported as rejected", phase)
+					}
+				}
+			}
+			if ends := r.owner.seen().Ends; len(ends) == 1 && ends[0].Kind == workflow.EndStopped {
+				stopped++
+			}
+		})
+	}
+	if stopped == 0 {
+		t.Error("no phase had a run that was stopped")
+	}
+}
+
 // Guards against an order that arrives after its run was withdrawn.
 func TestStopOfUnknownRunPreventsItsStart(t *testing.T) {
 	run(t, func(t *testing.T, r *rig) {
--- a/internal/taskagent/orders.go
+++ b/internal/taskagent/orders.go
@@ -128,13 +128,14 @@
 	s.reject(ctx, order.ID, r, reason)
 }
 
-// reject reports a run that did not start. While an earlier order may still be
-// carried out, the run is stopped first, so that it never will.
+// reject reports a run that did not start. While an earlier order may have been
+// carried out, or still be, the run is stopped first and looked for afterwards:
+// one that is there goes on until its end is listed.
 func (s *session) reject(ctx context.Context, id workflow.RunID, r *localRun, reason string) {
 	s.mu.Lock()
 	uncertain := r.uncertain
 	s.mu.Unlock()
-	if uncertain && !s.stopUntilAnswered(ctx, id) {
+	if uncertain && (!s.stopUntilAnswered(ctx, id) || !s.listUntilAnswered(ctx)) {
 		return
 	}
 	s.mu.Lock()
@@ -158,6 +159,22 @@
 	s.stopUntilAnswered(ctx, id)
 }
 
+// listUntilAnswered takes over a listing that is asked for now.
+func (s *session) listUntilAnswered(ctx context.Context) bool {
+	for ctx.Err() == nil && !s.isOver() {
+		err := s.hold(ctx, 0)
+		if err == nil {
+			return true
+		}
+		if errors.Is(err, ErrOtherBoot) {
+			s.end(err.Error())
+			return false
+		}
+		retry.Sleep(ctx, retry.Jitter(2*retryPause))
+	}
+	return false
+}
+
 func (s *session) stopUntilAnswered(ctx context.Context, id workflow.RunID) bool {
 	pause := retryPause
 	for ctx.Err() == nil && !s.isOver() {
--- a/internal/taskdaemon/entry.go
+++ b/internal/taskdaemon/entry.go
@@ -39,6 +39,8 @@
 	entryGone = 10 * time.Second
 	// configRetry is how often a process without a configuration asks others.
 	configRetry = 300 * time.Millisecond
+	// feedPause is small beside the 400 ms and more after which clients ask again.
+	feedPause = 60 * time.Millisecond
 	// unreadyAfter is the age of the last contact with the store after which an
 	// entry leaves new connections to others.
 	unreadyAfter = 2500 * time.Millisecond
@@ -92,6 +94,7 @@
 	e.failover = &rowstore.Failover{Direct: o.Exchange, Peers: e.exchanges, Log: o.Log}
 	e.store = o.OpenStore(e.failover.Do)
 	e.rows = rowstore.NewMirror(e.store, Table, o.Log, e.observe)
+	e.rows.Pace = e.feedPause
 	e.operator = rowstore.NewMirror(e.store, o.OperatorTable, o.Log, e.observeOperator)
 	e.Gateway = gateway.New(gateway.Options{Store: e.store, Mirror: e.rows, Table: Table, Log: o.Log, UnixMillis: unixMillis})
 	e.elector = election.New(election.Options{
@@ -166,6 +169,15 @@
 	e.seeds = seeds
 }
 
+// feedPause lets changes gather at entries that only answer questions about
+// jobs: the owner's writes would otherwise be a call of each entry each.
+func (e *Entry) feedPause() time.Duration {
+	if e.currentOwner() != nil {
+		return 0
+	}
+	return feedPause
+}
+
 func (e *Entry) observe(rows []rowstore.Row) {
 	for _, r := range rows {
 		if r.Key == election.RowKey {
