--- a/internal/taskowner/cycle.go
+++ b/internal/taskowner/cycle.go
@@ -44,12 +44,9 @@
 // cycle decides once and carries the decision out.
 func (o *Owner) cycle() {
 	o.endSplitGangs()
-	o.endStalled()
-	slow := o.slowdowns()
-	snap, groups := o.snapshot(slow)
+	snap, groups := o.snapshot()
 	o.reportLoad(snap)
 	if len(snap.Groups) == 0 {
-		o.moveFromSlow(snap, slow) // others wait for the room otherwise
 		return
 	}
 	plan := o.o.Decide(snap)
@@ -156,7 +153,7 @@
 }
 
 // snapshot returns what the decision depends on.
-func (o *Owner) snapshot(slow map[string]float64) (*taskplan.Snapshot, []group) {
+func (o *Owner) snapshot() (*taskplan.Snapshot, []group) {
 	now := o.now()
 	snap := &taskplan.Snapshot{
 		Now: now, RemotePenalty: o.o.Times.RemotePenalty, StopGrace: o.o.Times.StopGrace, ReclaimIn: o.o.Times.Reclaim,
@@ -167,7 +164,7 @@
 		}
 		snap.Workers = append(snap.Workers, taskplan.Worker{
 			ID: w.id, Rack: w.info.Rack, Labels: w.info.Labels, Capacity: w.info.Capacity, Free: w.free(),
-			Usable: o.usable(w), Slowdown: max(1, slow[w.id]), Probe: o.health.State(now, w.id) == structs.WorkerProbing,
+			Usable: o.usable(w), Slowdown: 1, Probe: o.health.State(now, w.id) == structs.WorkerProbing,
 		})
 		for _, r := range w.runs {
 			snap.Running = append(snap.Running, o.running(r))
