--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/parsleypier/parsleypier/internal/eventlog"
+	"github.com/parsleypier/parsleypier/internal/rowstore"
+	"github.com/parsleypier/parsleypier/internal/standin/rows"
+	"github.com/parsleypier/parsleypier/internal/verdict"
+	"github.com/parsleypier/parsleypier/internal/workflow"
+)
+
+const (
+	table = "t"
+	id    = "5c0e7a21d94b36f8"
+)
+
+var (
+	queue = &Queue{Name: "q", Pool: "p"}
+	spec  = workflow.Spec{Steps: []workflow.Step{{Tasks: 1}}}
+)
+
+// entries runs two gateways over one table, on virtual time.
+func entries(t *testing.T, f func(ctx context.Context, store *rows.Table, a, b *Gateway)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := rows.New()
+		open := func(name string) *Gateway {
+			var g *Gateway
+			m := rowstore.NewMirror(store.For(name), table, eventlog.Discard(), func(r []rowstore.Row) { g.Observe(r) })
+			g = New(Options{Store: store.For(name), Mirror: m, Table: table, Log: eventlog.Discard(), UnixMillis: func() int64 { return 1 }})
+			go m.Run(ctx)
+			return g
+		}
+		a, b := open("a"), open("b")
+		time.Sleep(time.Second)
+		f(ctx, store, a, b)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func within(ctx context.Context, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	time.AfterFunc(d, cancel)
+	return ctx
+}
+
+// Guards against an accepted job that another entry does not know, and against a
+// second job of a submission that is sent again elsewhere.
+func TestAcceptedJobIsKnownEverywhere(t *testing.T) {
+	entries(t, func(ctx context.Context, store *rows.Table, a, b *Gateway) {
+		if err := a.Submit(ctx, queue, "x", id, spec); err != nil {
+			t.Fatal(err)
+		}
+		if state, known, err := b.State(ctx, queue, id); err != nil || !known || state != workflow.StateQueued {
+			t.Errorf("state %q, %v, %v at once at the other entry", state, known, err)
+		}
+		if err := b.Submit(ctx, queue, "x", id, spec); err != nil {
+			t.Errorf("the same submission at the other entry: %v", err)
+		}
+		if a.Pending(queue) != 1 || b.Pending(queue) != 1 {
+			t.Errorf("%d and %d jobs wait, want 1", a.Pending(queue), b.Pending(queue))
+		}
+	})
+}
+
+// Guards against an untrue refusal: an acceptance whose answer is lost, and that
+// takes effect only after a while, is no refusal.
+func TestLostAnswerIsNoRefusal(t *testing.T) {
+	entries(t, func(ctx context.Context, store *rows.Table, a, b *Gateway) {
+		store.SetFaults(rows.Faults{LoseEvery: 1, Late: time.Second})
+		err := a.Submit(within(ctx, 500*time.Millisecond), queue, "x", id, spec)
+		if err == nil || verdict.Of(err) == verdict.NotRun {
+			t.Fatalf("an acceptance of unknown outcome ends as %v", err)
+		}
+		store.SetFaults(rows.Faults{})
+		time.Sleep(3 * time.Second)
+		if _, known, err := b.State(ctx, queue, id); err != nil || !known {
+			t.Errorf("the job that was stored late is known: %v, %v", known, err)
+		}
+	})
+}
+
+// Guards against waiting, or an open outcome, where the store refuses for
+// certain, and against an answer that a job does not exist which nobody checked.
+func TestOutage(t *testing.T) {
+	entries(t, func(ctx context.Context, store *rows.Table, a, _ *Gateway) {
+		store.SetFaults(rows.Faults{Down: true})
+		began := time.Now()
+		err := a.Submit(within(ctx, 3*time.Second), queue, "x", id, spec)
+		if verdict.Of(err) != verdict.NotRun || time.Since(began) > 100*time.Millisecond {
+			t.Errorf("refused after %v with %v", time.Since(began), err)
+		}
+		if _, _, err := a.State(ctx, queue, "ffffffffffffffff"); err == nil {
+			t.Error("a job is said not to exist while the store cannot be asked")
+		}
+	})
+}
+
+// Guards against a cancellation that is confirmed and not stored, or that asks
+// for a job of another queue.
+func TestCancel(t *testing.T) {
+	entries(t, func(ctx context.Context, store *rows.Table, a, b *Gateway) {
+		if known, err := a.Cancel(ctx, queue, id); err != nil || known {
+			t.Errorf("an unknown job is cancelled: %v, %v", known, err)
+		}
+		if err := a.Submit(ctx, queue, "x", id, spec); err != nil {
+			t.Fatal(err)
+		}
+		if known, err := b.Cancel(ctx, &Queue{Name: "other"}, id); err != nil || known {
+			t.Errorf("a job of another queue is cancelled: %v, %v", known, err)
+		}
+		for range 2 {
+			if known, err := b.Cancel(ctx, queue, id); err != nil || !known {
+				t.Fatalf("cancelled: %v, %v", known, err)
+			}
+		}
+		if _, stored, err := store.For("x").Get(ctx, table, workflow.CancelPrefix+id); err != nil || !stored {
+			t.Errorf("the mark is stored: %v, %v", stored, err)
+		}
+		time.Sleep(time.Second)
+		if state, _, err := a.State(ctx, queue, id); err != nil || state != workflow.StateCancelled {
+			t.Errorf("state %q, %v", state, err)
+		}
+	})
+}
