Keep failed tasks from their worker, refuse at once while the store is lost, remove old jobs

Ruled out: poison (the same jobs end done elsewhere). Change: a task does not return to the worker where it failed while another can run it; a worker pauses after a failure and is probed after failures of several jobs. Submissions are refused at once while the store is known to be away. Rows of ended jobs are removed after their time; metrics of the owner.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -149,6 +149,9 @@
 	if queue, _, known := g.lookup(id); known {
 		return g.duplicate(q, queue, id)
 	}
+	if g.o.Mirror.Lost() {
+		return rowstore.Unavailable(verdict.NotRun, "the store is out of reach").WithRetryAfter(outageRetry)
+	}
 	rec := workflow.Record{
 		ID: id, Queue: q.Name, Account: account, Pool: q.Pool, Spec: spec, Terms: q.Terms, AcceptedAt: g.o.UnixMillis(),
 	}
--- a/internal/rowstore/mirror.go
+++ b/internal/rowstore/mirror.go
@@ -19,6 +19,9 @@
 	// overdue is how much later than its wait a feed call is answered by a store
 	// that is well.
 	overdue = 250 * time.Millisecond
+	// farOverdue is how much later even a store that is 80 times as slow as usual
+	// answers.
+	farOverdue = time.Second
 	// mirrorBackoff is the mean delay after a failed call.
 	mirrorBackoff = 100 * time.Millisecond
 	// callTimeout limits one call of a mirror with its tries.
@@ -217,6 +220,14 @@
 	return m.loaded && !m.down && time.Since(m.answeredAt) < feedWait+overdue
 }
 
+// Lost reports whether the store does not serve this process, nor a peer for it:
+// the last call failed, or the one in progress is far beyond its time.
+func (m *Mirror) Lost() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.down || m.loaded && time.Since(m.answeredAt) > feedWait+farOverdue
+}
+
 // WaitFor waits until the mirror has reached the version. The error is ctx's.
 func (m *Mirror) WaitFor(ctx context.Context, version uint64) error {
 	for {
--- a/internal/taskowner/cycle.go
+++ b/internal/taskowner/cycle.go
@@ -8,6 +8,7 @@
 	"github.com/parsleypier/parsleypier/internal/structs"
 	"github.com/parsleypier/parsleypier/internal/taskplan"
 	"github.com/parsleypier/parsleypier/internal/taskrpc"
+	"github.com/parsleypier/parsleypier/internal/telemetry"
 	"github.com/parsleypier/parsleypier/internal/workflow"
 )
 
@@ -62,6 +63,7 @@
 		g := groups[i]
 		if g.job.waits[g.part] != string(reason) {
 			g.job.waits[g.part] = string(reason)
+			waits.Add(string(reason), 1)
 			o.o.Log.Event("step_waits", "job", g.job.id, "occurrence", g.part.Occurrence, "step", g.part.Step, "reason", string(reason),
 				"tasks", len(snap.Groups[i].Tasks), "gpus", snap.Groups[i].Need.GPUs, "guaranteed", snap.Groups[i].Guaranteed,
 				"readyMs", (o.now() - snap.Groups[i].Since).Milliseconds())
@@ -147,6 +149,7 @@
 	j.attempts[task] = attempt
 	j.runs[task], w.runs[r.id] = r, r
 	delete(j.waits, g.part)
+	startWait.Add(telemetry.Bucket(o.now()-j.ready[g.part]), 1)
 	o.o.Log.Event("run_ordered", "job", j.id, "run", r.id.String(), "worker", w.id, "readyMs", (o.now() - j.ready[g.part]).Milliseconds(),
 		"expectedMs", expected.Milliseconds(), "reportAgeMs", time.Since(w.lastCall).Milliseconds(), "epoch", o.o.Epoch)
 	w.wake()
@@ -164,7 +167,7 @@
 		}
 		snap.Workers = append(snap.Workers, taskplan.Worker{
 			ID: w.id, Rack: w.info.Rack, Labels: w.info.Labels, Capacity: w.info.Capacity, Free: w.free(),
-			Usable: o.usable(w), Slowdown: 1, Probe: o.health.State(now, w.id) == structs.WorkerProbing,
+			Usable: o.usable(w), Slowdown: 1, Probe: w.suspicion.probing() || o.health.State(now, w.id) == structs.WorkerProbing,
 		})
 		for _, r := range w.runs {
 			snap.Running = append(snap.Running, o.running(r))
--- a/internal/taskowner/job.go
+++ b/internal/taskowner/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/parsleypier/parsleypier/internal/taskrpc"
+	"github.com/parsleypier/parsleypier/internal/telemetry"
 	"github.com/parsleypier/parsleypier/internal/workflow"
 )
 
@@ -103,6 +104,7 @@
 		delete(r.job.runs, r.id.Task)
 	}
 	delete(r.worker.runs, r.id)
+	runEnds.Add(string(kind), 1)
 	o.o.Log.Event("run_ended", "job", r.id.Task.Job, "run", r.id.String(), "worker", r.worker.id, "how", string(kind),
 		"why", cmp.Or(why, r.stopping), "tookMs", (o.now() - cmp.Or(r.started, r.ordered)).Milliseconds(),
 		"expectedMs", r.expected.Milliseconds(), "percent", r.percent)
@@ -131,6 +133,7 @@
 		return
 	}
 	r.stopping = reason
+	stopsMade.Add(1)
 	o.o.Log.Event("run_stopping", "job", r.id.Task.Job, "run", r.id.String(), "worker", r.worker.id, "reason", reason, "percent", r.percent)
 	r.worker.wake()
 }
@@ -160,6 +163,8 @@
 	}
 	j.prog.State, j.prog.EndedAt = state, o.o.UnixMillis()
 	o.changed(j)
+	jobEnds.Add(string(state), 1)
+	jobTime.Add(telemetry.Bucket(time.Duration(j.prog.EndedAt-j.rec.AcceptedAt)*time.Millisecond), 1)
 	o.o.Log.Event("job_ended", "job", j.id, "queue", j.rec.Queue, "state", string(state), "sinceAcceptedMs", j.prog.EndedAt-j.rec.AcceptedAt)
 	for _, r := range j.runs {
 		if state != workflow.StateCompleted || !r.step.Gang {
@@ -214,12 +219,14 @@
 	switch e.Kind {
 	case workflow.EndDone:
 		o.health.Success(now, w.id, j.rec.Queue, j.id)
+		w.suspicion.success()
 		if r != nil && r.started > 0 && !r.resumed && !r.remote && !r.step.Persistent {
 			o.runtimes.Observe(j.rec.Account, j.rec.Queue, "", r.step.Estimate.Duration(), now-r.started)
 		}
 	case workflow.EndFailed:
 		j.avoid[w.id] = true
 		o.health.Failure(now, w.id, j.rec.Queue, j.id, false)
+		w.suspicion.failure(now, j.id)
 	}
 }
 
--- a/internal/taskowner/owner.go
+++ b/internal/taskowner/owner.go
@@ -133,9 +133,11 @@
 
 // Start begins the owner's work in the background.
 func (o *Owner) Start() {
+	takeovers.Add(1)
 	o.wg.Go(o.load)
 	o.wg.Go(o.cycles)
 	o.wg.Go(o.persist)
+	o.wg.Go(o.collect)
 }
 
 // Stop ends the owner's work. It orders nothing afterwards.
--- a/internal/taskowner/persist.go
+++ b/internal/taskowner/persist.go
@@ -9,6 +9,7 @@
 	"github.com/parsleypier/parsleypier/internal/election"
 	"github.com/parsleypier/parsleypier/internal/retry"
 	"github.com/parsleypier/parsleypier/internal/rowstore"
+	"github.com/parsleypier/parsleypier/internal/telemetry"
 	"github.com/parsleypier/parsleypier/internal/verdict"
 	"github.com/parsleypier/parsleypier/internal/workflow"
 )
@@ -74,6 +75,7 @@
 	defer cancel()
 	sent := time.Now()
 	version, err := o.o.Store.Commit(ctx, txn)
+	writeWait.Add(telemetry.Bucket(time.Since(sent)), 1)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var conflict *rowstore.Conflict
--- a/internal/taskowner/worker.go
+++ b/internal/taskowner/worker.go
@@ -9,6 +9,7 @@
 
 	"github.com/parsleypier/parsleypier/internal/structs"
 	"github.com/parsleypier/parsleypier/internal/taskrpc"
+	"github.com/parsleypier/parsleypier/internal/telemetry"
 	"github.com/parsleypier/parsleypier/internal/verdict"
 	"github.com/parsleypier/parsleypier/internal/workflow"
 )
@@ -31,6 +32,7 @@
 	// answered: leases on the worker lapse after that.
 	lastCall, lastReply time.Time
 	lost                bool
+	suspicion           suspicion
 
 	runs map[workflow.RunID]*run
 	// strangers are runs that the owner does not want, with what they hold.
@@ -86,12 +88,41 @@
 	return time.Duration(float64(o.o.Times.Lease)/(1-clockSlow)) + leaseSlack
 }
 
+// suspicion keeps work from a worker whose runs fail. A failed run is the fault
+// of its task or of its worker; which one shows when the worker has run others.
+type suspicion struct {
+	// failed counts the jobs of which runs failed there since the last one that
+	// ended done, job is the last of them.
+	failed int
+	job    string
+	until  time.Duration // on the owner's clock
+}
+
+// suspicionPauses are the times without starts after the first, second and each
+// further job that failed. Runs fail by their own fault once in 50 to 200, so
+// that two in a row point to the worker.
+var suspicionPauses = []time.Duration{time.Second, 4 * time.Second, 8 * time.Second}
+
+func (s *suspicion) failure(now time.Duration, job string) {
+	if job != s.job {
+		s.failed++
+		s.job = job
+	}
+	s.until = now + suspicionPauses[min(s.failed, len(suspicionPauses))-1]
+}
+
+func (s *suspicion) success() { *s = suspicion{} }
+
+// probing reports whether a worker that failed several jobs gets one task to
+// show that it is sound again.
+func (s *suspicion) probing() bool { return s.failed > 1 }
+
 // usable reports whether the worker may receive starts.
 func (o *Owner) usable(w *worker) bool {
 	if !w.reported || w.fence != o.o.Epoch || !w.row || w.info.Draining || w.info.Gone || w.lost || w.info.Silent > 0 {
 		return false
 	}
-	return time.Since(w.lastCall) < freshContact && o.health.State(o.now(), w.id) != structs.WorkerQuarantined
+	return time.Since(w.lastCall) < freshContact && o.now() >= w.suspicion.until && o.health.State(o.now(), w.id) != structs.WorkerQuarantined
 }
 
 // free returns the capacity beside everything that may run on the worker.
@@ -153,6 +184,7 @@
 // loseRuns ends all runs of a life of a worker that is over.
 func (o *Owner) loseRuns(w *worker, why string) {
 	w.expected = false
+	lostRuns.Add(int64(len(w.runs)))
 	for _, r := range w.runs {
 		if !r.job.prog.State.Final() {
 			r.job.prog.NoteEnd(&r.job.rec.Spec, r.id, workflow.EndLost, r.checkpoint)
@@ -390,6 +422,7 @@
 	now := o.now()
 	if rep.State != taskrpc.RunStarting && r.state == taskrpc.RunStarting {
 		r.started, r.moved = now, now
+		startTime.Add(telemetry.Bucket(now-r.ordered), 1)
 		o.o.Log.Event("run_started", "job", r.job.id, "run", r.id.String(), "worker", r.worker.id, "afterMs", (now - r.ordered).Milliseconds())
 		if !r.job.prog.Begun {
 			r.job.prog.Begun = true
@@ -408,6 +441,7 @@
 	if r.state != taskrpc.RunStarting {
 		r.job.prog.NoteEnd(&r.job.rec.Spec, r.id, workflow.EndLost, r.checkpoint)
 	}
+	rejects.Add(reason, 1)
 	o.endRun(r, workflow.EndLost, "rejected: "+reason)
 }
 
--- a/internal/taskplan/place.go
+++ b/internal/taskplan/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -64,10 +65,12 @@
 	if group.MaxPerWorker == 0 {
 		return
 	}
-	if group.Present == nil {
-		group.Present = map[string]int{}
+	present := maps.Clone(group.Present) // the caller's map is not changed
+	if present == nil {
+		present = map[string]int{}
 	}
-	group.Present[p.nodes[n].ID]++
+	present[p.nodes[n].ID]++
+	group.Present = present
 }
 
 // remotePays reports whether a run away from the data is worth its longer time:
@@ -88,17 +91,14 @@
 // whole workers stay free for large tasks; -1 if none has room.
 func (p *planner) bestNode(g int, near bool) int {
 	group := &p.s.Groups[g]
-	best, bestKey := -1, [4]float64{}
+	best, bestKey := -1, [3]float64{}
 	for n := range p.nodes {
 		w := &p.nodes[n]
 		if near == remote(group, w.Rack) || p.room(g, n) < 1 {
 			continue
 		}
 		after := w.Free.Add(group.Need, -1)
-		key := [4]float64{w.Slowdown, 0, float64(after.GPUs), float64(after.CPUMilli)}
-		if group.Avoid[w.ID] {
-			key[1] = 1
-		}
+		key := [3]float64{w.Slowdown, float64(after.GPUs), float64(after.CPUMilli)}
 		if best < 0 || slices.Compare(key[:], bestKey[:]) < 0 {
 			best, bestKey = n, key
 		}
@@ -247,14 +247,8 @@
 	}
 	slices.SortStableFunc(all, func(a, b spot) int {
 		wa, wb := &p.nodes[a.node], &p.nodes[b.node]
-		avoid := func(w *node) int {
-			if group.Avoid[w.ID] {
-				return 1
-			}
-			return 0
-		}
 		left := func(w *node, c int) int { return w.Free.Add(group.Need, -min(c, n)).GPUs }
-		return cmp.Or(cmp.Compare(wa.Slowdown, wb.Slowdown), cmp.Compare(avoid(wa), avoid(wb)),
+		return cmp.Or(cmp.Compare(wa.Slowdown, wb.Slowdown),
 			cmp.Compare(left(wa, a.count), left(wb, b.count)), cmp.Compare(b.count, a.count),
 			cmp.Compare(wa.Free.CPUMilli, wb.Free.CPUMilli), cmp.Compare(wa.ID, wb.ID))
 	})
--- a/internal/taskplan/taskplan.go
+++ b/internal/taskplan/taskplan.go
@@ -44,7 +44,8 @@
 	// that are there already.
 	MaxPerWorker int
 	Present      map[string]int
-	// Avoid lists workers on which the group's tasks failed.
+	// Avoid lists workers on which the group's tasks failed. They are used only
+	// when no other worker could run the group.
 	Avoid map[string]bool
 	// Expected is the run time of a task on a sound worker near its data, Chain the
 	// longest chain of work that the job still has, this step included, and Area
@@ -168,11 +169,7 @@
 	minRemaining = 200 * time.Millisecond
 )
 
-type node struct {
-	Worker
-	// present counts the planned tasks by group.
-	planned int
-}
+type node struct{ Worker }
 
 type reservation struct {
 	at     time.Duration
@@ -190,17 +187,19 @@
 	held    []reservation
 	endings [][]int // running by node, ascending by end
 	stopped map[workflow.RunID]bool
-	present []map[int]int // planned tasks by group and node
 }
 
 // Decide returns the plan for the snapshot.
 func Decide(s *Snapshot) *Plan {
+	own := *s
+	own.Groups = slices.Clone(s.Groups)
+	s = &own
 	p := &planner{s: s, plan: &Plan{Waits: map[int]Reason{}}, index: map[string]int{}, stopped: map[workflow.RunID]bool{}}
 	for i, w := range s.Workers {
 		if w.Slowdown < 1 {
 			w.Slowdown = 1
 		}
-		p.nodes = append(p.nodes, node{Worker: w})
+		p.nodes = append(p.nodes, node{w})
 		p.index[w.ID] = i
 		p.total = p.total.Add(w.Capacity, 1)
 	}
@@ -210,6 +209,9 @@
 			p.endings[n] = append(p.endings[n], i)
 		}
 	}
+	for g := range s.Groups {
+		p.relax(&s.Groups[g])
+	}
 	p.rank()
 	for _, g := range p.order {
 		p.place(g)
@@ -263,9 +265,16 @@
 	})
 }
 
+// relax lets a group run again on workers where it failed if there are no others.
+func (p *planner) relax(g *Group) {
+	if len(g.Avoid) > 0 && !slices.ContainsFunc(p.nodes, func(n node) bool { return n.eligible(g) }) {
+		g.Avoid = nil
+	}
+}
+
 // eligible reports whether the worker may run the group's tasks at all.
 func (n *node) eligible(g *Group) bool {
-	return n.Usable && (g.Label == "" || slices.Contains(n.Labels, g.Label)) && n.Capacity.Fits(g.Need)
+	return n.Usable && !g.Avoid[n.ID] && (g.Label == "" || slices.Contains(n.Labels, g.Label)) && n.Capacity.Fits(g.Need)
 }
 
 // remote reports whether the group's tasks are slowed on the rack.
--- a/internal/taskplan/taskplan_test.go
+++ b/internal/taskplan/taskplan_test.go
@@ -297,6 +297,27 @@
 				t.Errorf("placed on %v", got)
 			}
 		}},
+		{"a task does not return to the worker where it failed (a worker fails all that it starts)", func(s *Snapshot) {
+			for w := range 3 {
+				occupy(s, w, "x", gpus(8), second, nil)
+			}
+			g := group("a", 1, gpus(8))
+			g.Avoid = map[string]bool{"w03": true}
+			s.Groups = []Group{g}
+		}, func(t *testing.T, _ *Snapshot, p *Plan) {
+			if len(p.Starts) != 0 {
+				t.Errorf("starts %v", p.Starts)
+			}
+		}},
+		{"a task returns to a worker where it failed if there is no other", func(s *Snapshot) {
+			g := group("a", 1, gpus(8))
+			g.Avoid = map[string]bool{"w00": true, "w01": true, "w02": true, "w03": true}
+			s.Groups = []Group{g}
+		}, func(t *testing.T, _ *Snapshot, p *Plan) {
+			if len(p.Starts) != 1 {
+				t.Errorf("starts %v, want one", p.Starts)
+			}
+		}},
 		{"a gang larger than all workers never fits", func(s *Snapshot) {
 			g := group("a", 9, gpus(8))
 			g.Gang = true
