--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -191,8 +191,8 @@
 	return nil
 }
 
-// create writes a row that must not exist. It tries until the outcome is known
-// or ctx ends.
+// create writes a row that must not exist. It tries until the outcome is known,
+// the store is known to be away, or ctx ends.
 func (g *Gateway) create(ctx context.Context, key string, value []byte) (uint64, error) {
 	result := verdict.NotRun
 	txn := rowstore.Txn{
@@ -208,7 +208,7 @@
 		if verdict.Of(err) != verdict.NotRun {
 			result = verdict.MayHaveRun
 		}
-		if result == verdict.NotRun || !retry.Sleep(ctx, retry.Jitter(2*retryPause)) {
+		if result == verdict.NotRun || g.o.Mirror.Lost() || !retry.Sleep(ctx, retry.Jitter(2*retryPause)) {
 			return 0, verdict.From(err).WithVerdict(result).WithRetryAfter(outageRetry)
 		}
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -102,6 +102,20 @@
 	})
 }
 
+// Guards against a client that is held until its deadline by a request that the
+// entry cannot bring to an end: the store is away and an answer is open.
+func TestOpenRequestIsGivenUpWithTheStore(t *testing.T) {
+	entries(t, func(ctx context.Context, store *rows.Table, a, _ *Gateway) {
+		store.SetFaults(rows.Faults{LoseEvery: 1, Late: 10 * time.Second})
+		time.AfterFunc(100*time.Millisecond, func() { store.SetFaults(rows.Faults{Down: true}) })
+		began := time.Now()
+		err := a.Submit(within(ctx, 3*time.Second), queue, "x", id, spec)
+		if err == nil || verdict.Of(err) == verdict.NotRun || time.Since(began) > 1200*time.Millisecond {
+			t.Errorf("given up after %v with %v, want an open outcome soon after the store is lost", time.Since(began), err)
+		}
+	})
+}
+
 // Guards against a cancellation that is confirmed and not stored, or that asks
 // for a job of another queue.
 func TestCancel(t *testing.T) {
