--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -34,9 +34,9 @@
 	}
 }
 
-// Guards against settings that docs/operating.md does not describe.
+// Guards against settings that docs/OPERATIONS.md does not describe.
 func TestSettingsAreDocumented(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operating.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
