--- /dev/null
+++ b/test/demo/hosted.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/parsleypier/parsleypier/test/hosted"
+)
+
+// Size of the hosted part of the demo.
+const (
+	hostedNetwork = 21 // its processes have addresses in 127.21.0.0/16
+	hostedEntries = 2
+	hostedWorkers = 3
+	hostedTask    = 700 * time.Millisecond
+)
+
+// runHosted shows jobs of steps on the stand-in of the users' platform.
+func runHosted(ctx context.Context, bin, out string) error {
+	dir := filepath.Join(out, "hosted")
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	program, err := filepath.Abs(filepath.Join(bin, "parsleypierd"))
+	if err != nil {
+		return err
+	}
+	fmt.Printf("\n== users' platform (stand-in): %d entries, %d workers\n", hostedEntries, hostedWorkers)
+	d, err := hosted.Start(program, dir, hostedNetwork, hostedEntries, hostedWorkers, hostedTask)
+	defer d.Stop()
+	if err != nil {
+		return err
+	}
+	if err := until(ctx, readyTimeout, func() bool { return d.Ready(0) && d.Ready(1) }); err != nil {
+		return fmt.Errorf("entries are not ready: %w", err)
+	}
+	step := func(tasks, gpus int, more map[string]any) map[string]any {
+		s := map[string]any{"count": tasks, "cpu": 2000, "memMb": 1024, "gpu": gpus, "estimateMs": 700}
+		for k, v := range more {
+			s[k] = v
+		}
+		return s
+	}
+	jobs := map[string][]map[string]any{
+		hosted.Urgent + "00000000000000a1": {step(3, 8, map[string]any{"gang": true})},
+		hosted.Batch + "00000000000000b1":  {step(6, 1, nil), step(2, 4, map[string]any{"after": []int{0}})},
+	}
+	for path, steps := range jobs {
+		status, answer, err := d.Call(0, http.MethodPost, path, hosted.Key, map[string]any{"spec": "demo", "steps": steps})
+		if err != nil || status != http.StatusOK {
+			return fmt.Errorf("submission of %s: status %d %s, %v", path, status, answer, err)
+		}
+		fmt.Printf("%-32s accepted, %d steps\n", path, len(steps))
+	}
+	started := time.Now()
+	for path := range jobs {
+		state := ""
+		err := until(ctx, jobWait, func() bool {
+			_, answer, err := d.Call(1, http.MethodGet, path, hosted.Key, nil)
+			state = strings.TrimSpace(answer)
+			return err == nil && strings.Contains(state, "completed")
+		})
+		fmt.Printf("%-32s %s at the other entry after %v\n", path, state, time.Since(started).Round(10*time.Millisecond))
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// pollInterval is how often the demo looks.
+const pollInterval = 50 * time.Millisecond
+
+// until waits until done reports true.
+func until(ctx context.Context, limit time.Duration, done func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for !done() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(pollInterval):
+		}
+	}
+	return nil
+}
--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -78,6 +78,10 @@
 			os.Exit(1)
 		}
 	}
+	if err := runHosted(ctx, *bin, *out); err != nil {
+		fmt.Fprintf(os.Stderr, "demo: users' platform: %v\n", err)
+		os.Exit(1)
+	}
 	fmt.Println("\nAll processes were stopped. Logs and traces are in", *out)
 }
 
