--- a/internal/taskagent/orders.go
+++ b/internal/taskagent/orders.go
@@ -39,7 +39,8 @@
 	}
 	for _, id := range reply.Stop {
 		r := s.runs[id]
-		if r == nil && !s.over[id] {
+		_, over := s.over[id]
+		if r == nil && !over {
 			// The order to start it never came, or went to an earlier process that may
 			// have passed it on.
 			r = &localRun{state: taskrpc.RunStarting, uncertain: true, stop: true}
@@ -56,7 +57,7 @@
 		}
 	}
 	for _, order := range reply.Start {
-		if s.runs[order.ID] != nil || s.over[order.ID] {
+		if _, over := s.over[order.ID]; over || s.runs[order.ID] != nil {
 			continue
 		}
 		r := &localRun{state: taskrpc.RunStarting}
@@ -145,7 +146,7 @@
 	}
 	s.a.o.Log.Event("start_rejected", "run", id.String(), "job", id.Task.Job, "worker", s.id, "reason", reason)
 	r.state, r.reason = taskrpc.RunRejected, reason
-	s.over[id] = true
+	s.over[id] = time.Now()
 	signal(s.dirty)
 }
 
--- a/internal/taskagent/session.go
+++ b/internal/taskagent/session.go
@@ -57,7 +57,7 @@
 	runs   map[workflow.RunID]*localRun
 	// over has every run that has ended or was rejected here. An order for it that
 	// arrives late is not carried out again.
-	over  map[workflow.RunID]bool
+	over  map[workflow.RunID]time.Time
 	ends  []taskrpc.End // not noted yet, by number
 	noted uint64
 	seen  uint64 // highest number of an end that was listed
@@ -88,7 +88,7 @@
 	return &session{
 		a: a, id: w.ID, boot: w.Boot, api: a.o.Connect(addr, w.ID), worker: w, seq: seq, answered: time.Now(),
 		renewed: time.Now(), // an earlier process of this agent may have renewed leases until now
-		runs:    map[workflow.RunID]*localRun{}, over: map[workflow.RunID]bool{},
+		runs:    map[workflow.RunID]*localRun{}, over: map[workflow.RunID]time.Time{},
 		dirty: make(chan struct{}, 1), wake: make(chan struct{}, 1), cancel: func() {},
 	}
 }
@@ -328,7 +328,7 @@
 		}
 		s.seen = e.Seq
 		s.ends = append(s.ends, e)
-		s.over[e.ID] = true
+		s.over[e.ID] = time.Now()
 		delete(s.runs, e.ID)
 		changed = true
 	}
@@ -337,9 +337,30 @@
 			continue
 		}
 		r.state, r.reason, changed = taskrpc.RunRejected, ReasonVanished, true
-		s.over[id] = true
+		s.over[id] = time.Now()
 	}
 	if changed {
 		signal(s.dirty)
+		s.forgetOver()
 	}
 }
+
+// forgetOver forgets runs that ended so long ago that no order for them can
+// arrive any more. The lock is held.
+func (s *session) forgetOver() {
+	if len(s.over) < overKept {
+		return
+	}
+	for id, at := range s.over {
+		if time.Since(at) > overAge {
+			delete(s.over, id)
+		}
+	}
+}
+
+const (
+	// overAge is many times the longest delay of a reply (1.2 s).
+	overAge = time.Minute
+	// overKept is the number of ended runs up to which all are kept.
+	overKept = 1000
+)
--- a/internal/taskplan/taskplan_test.go
+++ b/internal/taskplan/taskplan_test.go
@@ -57,6 +57,21 @@
 	s.Running = append(s.Running, r)
 }
 
+// claimAgainst lets a claim on a guarantee wait for one of four workers that
+// runs of others fill until a time. edit may change the run on worker w.
+func claimAgainst(s *Snapshot, until time.Duration, edit func(w int, r *Running)) {
+	for w := range 4 {
+		occupy(s, w, "x", gpus(8), until, func(r *Running) {
+			if edit != nil {
+				edit(w, r)
+			}
+		})
+	}
+	claim := group("a", 1, gpus(8))
+	claim.Guaranteed, claim.Priority = true, 0
+	s.Groups = []Group{claim}
+}
+
 func placed(p *Plan, g int) []string {
 	var out []string
 	for _, s := range p.Starts {
@@ -158,60 +173,35 @@
 			}
 		}},
 		{"a guaranteed claim stops other work when no room becomes free in time", func(s *Snapshot) {
-			for w := range 4 {
-				occupy(s, w, "x", gpus(8), 20*second, nil)
-			}
-			claim := group("a", 1, gpus(8))
-			claim.Guaranteed, claim.Priority = true, 0
-			s.Groups = []Group{claim}
+			claimAgainst(s, 20*second, nil)
 		}, func(t *testing.T, _ *Snapshot, p *Plan) {
 			if len(p.Stops) != 1 || p.Waits[0] != WaitsForStops {
 				t.Errorf("plan %+v, want one stop", p)
 			}
 		}},
 		{"a guaranteed claim waits for room that becomes free at once", func(s *Snapshot) {
-			for w := range 4 {
-				occupy(s, w, "x", gpus(8), 300*time.Millisecond, nil)
-			}
-			claim := group("a", 1, gpus(8))
-			claim.Guaranteed, claim.Priority = true, 0
-			s.Groups = []Group{claim}
+			claimAgainst(s, 300*time.Millisecond, nil)
 		}, func(t *testing.T, _ *Snapshot, p *Plan) {
 			if len(p.Stops) != 0 {
 				t.Errorf("stops %v, want none", p.Stops)
 			}
 		}},
 		{"stops that are under way are not repeated on other runs", func(s *Snapshot) {
-			for w := range 4 {
-				occupy(s, w, "x", gpus(8), 20*second, func(r *Running) { r.Stopping = w == 0 })
-			}
-			claim := group("a", 1, gpus(8))
-			claim.Guaranteed, claim.Priority = true, 0
-			s.Groups = []Group{claim}
+			claimAgainst(s, 20*second, func(w int, r *Running) { r.Stopping = w == 0 })
 		}, func(t *testing.T, _ *Snapshot, p *Plan) {
 			if len(p.Stops) != 0 || p.Waits[0] != WaitsForStops {
 				t.Errorf("plan %+v, want no further stop", p)
 			}
 		}},
 		{"the run that loses least is stopped", func(s *Snapshot) {
-			for w := range 4 {
-				occupy(s, w, "x", gpus(8), 20*second, func(r *Running) { r.Lost = float64(90 - 20*w) })
-			}
-			claim := group("a", 1, gpus(8))
-			claim.Guaranteed, claim.Priority = true, 0
-			s.Groups = []Group{claim}
+			claimAgainst(s, 20*second, func(w int, r *Running) { r.Lost = float64(90 - 20*w) })
 		}, func(t *testing.T, s *Snapshot, p *Plan) {
 			if len(p.Stops) != 1 || p.Stops[0].Run != s.Running[3].ID {
 				t.Errorf("stops %v, want that of the run which has lost least", p.Stops)
 			}
 		}},
 		{"guaranteed runs are not stopped for another claim", func(s *Snapshot) {
-			for w := range 4 {
-				occupy(s, w, "x", gpus(8), 20*second, func(r *Running) { r.Guaranteed = true })
-			}
-			claim := group("a", 1, gpus(8))
-			claim.Guaranteed, claim.Priority = true, 0
-			s.Groups = []Group{claim}
+			claimAgainst(s, 20*second, func(w int, r *Running) { r.Guaranteed = true })
 		}, func(t *testing.T, _ *Snapshot, p *Plan) {
 			if len(p.Stops) != 0 {
 				t.Errorf("stops %v, want none", p.Stops)
