--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,7 +19,7 @@
 // candidate is an entry of a test.
 type candidate struct {
 	*Elector
-	terms, losses int
+	terms, losses atomic.Int64
 	cancel        context.CancelFunc
 }
 
@@ -26,14 +28,14 @@
 	table *rows.Table
 	began time.Time
 	all   []*candidate
-	gone  map[string]bool
+	gone  sync.Map // addresses of processes that no longer exist
 }
 
 func elect(t *testing.T, n int, f func(ctx context.Context, g *group)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		g := &group{table: rows.New(), began: time.Now(), gone: map[string]bool{}}
+		g := &group{table: rows.New(), began: time.Now()}
 		for i := range n {
 			g.join(ctx, fmt.Sprintf("e%d", i))
 		}
@@ -57,8 +59,11 @@
 	})
 	c.Elector = New(Options{
 		Store: store, Mirror: m, Table: table, Log: eventlog.Discard(), Clock: func() time.Duration { return time.Since(g.began) },
-		Self:        Holder{ID: id, Addr: id, Incarnation: time.Now().UnixNano()},
-		ProcessGone: func(_ context.Context, addr string) bool { return g.gone[addr] },
+		Self: Holder{ID: id, Addr: id, Incarnation: time.Now().UnixNano()},
+		ProcessGone: func(_ context.Context, addr string) bool {
+			_, gone := g.gone.Load(addr)
+			return gone
+		},
 		Confirm: func(_ context.Context, epoch uint64) bool {
 			all := true
 			for _, other := range g.all {
@@ -68,7 +73,7 @@
 			}
 			return all
 		},
-		OnAcquire: func(Term) { c.terms++ }, OnLose: func(string) { c.losses++ },
+		OnAcquire: func(Term) { c.terms.Add(1) }, OnLose: func(string) { c.losses.Add(1) },
 	})
 	g.all = append(g.all, c)
 	go m.Run(ctx)
@@ -124,7 +129,7 @@
 	elect(t, 2, func(_ context.Context, g *group) {
 		first := g.owner(t)
 		first.cancel()
-		g.gone[first.o.Self.Addr] = true
+		g.gone.Store(first.o.Self.Addr, true)
 		time.Sleep(probeAfter + 3*tick + RenewInterval)
 		if o := g.owner(t); o == nil || o == first {
 			t.Error("no takeover soon after the process was gone")
@@ -152,7 +157,7 @@
 				}
 				g.table.SetFaults(rows.Faults{})
 				time.Sleep(5 * time.Second)
-				if g.owner(t) != first || first.terms != 1 {
+				if g.owner(t) != first || first.terms.Load() != 1 {
 					t.Error("the owner changed by an outage")
 				}
 			})
@@ -172,8 +177,8 @@
 		}
 		g.table.SetFaults(rows.Faults{})
 		time.Sleep(2 * time.Second)
-		if first.losses != 1 {
-			t.Errorf("the former owner noticed its loss %d times", first.losses)
+		if first.losses.Load() != 1 {
+			t.Errorf("the former owner noticed its loss %d times", first.losses.Load())
 		}
 	})
 }
--- a/internal/taskdaemon/sim_test.go
+++ b/internal/taskdaemon/sim_test.go
@@ -108,7 +108,7 @@
 type sim struct {
 	t       *testing.T
 	ctx     context.Context
-	rng     *rand.Rand
+	rng     *lockedRand
 	net     *simNet
 	table   *rows.Table
 	history *history
@@ -121,6 +121,30 @@
 	faults  map[string]int
 }
 
+// lockedRand is a source of random numbers for several goroutines.
+type lockedRand struct {
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+func (r *lockedRand) IntN(n int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rng.IntN(n)
+}
+
+func (r *lockedRand) Perm(n int) []int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rng.Perm(n)
+}
+
+func (r *lockedRand) Int64N(n int64) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rng.Int64N(n)
+}
+
 type simEntry struct {
 	*Entry
 	cancel context.CancelFunc
@@ -145,7 +169,7 @@
 
 func newSim(ctx context.Context, t *testing.T, seed uint64) *sim {
 	s := &sim{
-		t: t, ctx: ctx, rng: rand.New(rand.NewPCG(seed, 1)), net: &simNet{services: map[string]map[string]any{}, cut: map[string]bool{}},
+		t: t, ctx: ctx, rng: &lockedRand{rng: rand.New(rand.NewPCG(seed, 1))}, net: &simNet{services: map[string]map[string]any{}, cut: map[string]bool{}},
 		table: rows.New(), history: newHistory(), log: eventlog.Discard(), entries: map[string]*simEntry{}, agents: map[string]*Agent{},
 		faults: map[string]int{},
 	}
@@ -440,7 +464,7 @@
 	}
 }
 
-func (s *sim) spec(rng *rand.Rand) workflow.Spec {
+func (s *sim) spec(rng *lockedRand) workflow.Spec {
 	spec := workflow.Spec{Payload: "x"}
 	for i := range 1 + rng.IntN(2) {
 		step := workflow.Step{
--- a/internal/taskdaemon/sim_worker_test.go
+++ b/internal/taskdaemon/sim_worker_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/parsleypier/parsleypier/internal/taskagent"
@@ -135,7 +136,7 @@
 	work    time.Duration
 	fails   bool
 	late    bool
-	waiting bool // for the other members of its gang
+	waiting atomic.Bool // for the other members of its gang
 	timer   *time.Timer
 	ending  bool
 }
@@ -216,11 +217,12 @@
 	w.mu.Lock()
 	up, lose := w.up, w.rng.Float64() < w.loseShare
 	delay := 2*time.Second + time.Duration(w.rng.Int64N(int64(10*time.Second)))
+	carriedOut := w.rng.Float64() < 0.7
 	w.mu.Unlock()
 	if up && !lose {
 		return nil
 	}
-	if up && w.rng.Float64() < 0.7 {
+	if up && carriedOut {
 		time.AfterFunc(delay, later)
 	}
 	<-ctx.Done()
@@ -286,7 +288,7 @@
 	r.timer = time.AfterFunc(time.Hour, func() {})
 	w.history.started(r)
 	if spec != nil && spec.Steps[s.ID.Task.Step].Gang {
-		r.waiting = true
+		r.waiting.Store(true)
 		r.timer = time.AfterFunc(simGangWait, func() { w.finish(r, workflow.EndAlone) })
 		go w.gather(r, spec.Steps[s.ID.Task.Step].Tasks)
 		return
@@ -311,12 +313,13 @@
 	}
 	var work time.Duration
 	for _, m := range members {
+		m.w.mu.Lock()
 		work = max(work, m.work)
+		m.w.mu.Unlock()
 	}
 	for _, m := range members {
 		m.w.mu.Lock()
-		if m.waiting && m.w.runs[m.id] == m {
-			m.waiting = false
+		if m.w.runs[m.id] == m && m.waiting.CompareAndSwap(true, false) {
 			m.timer.Stop()
 			m.work = work
 			m.w.work(m)
@@ -350,11 +353,11 @@
 	if gang {
 		members = w.gang(r)
 	}
-	if !w.finishOne(r, kind) || !gang || kind == workflow.EndDone || r.waiting && kind != workflow.EndFailed {
+	if !w.finishOne(r, kind) || !gang || kind == workflow.EndDone || r.waiting.Load() && kind != workflow.EndFailed {
 		return
 	}
 	for _, m := range members {
-		if m != r && !m.waiting {
+		if m != r && !m.waiting.Load() {
 			m.w.finishOne(m, workflow.EndBroken)
 		}
 	}
--- a/internal/taskowner/worker.go
+++ b/internal/taskowner/worker.go
@@ -317,7 +317,7 @@
 	case args.Worker.Boot > w.boot:
 		o.o.Log.Event("worker_rebooted", "worker", w.id, "boot", args.Worker.Boot, "before", w.boot, "runs", len(w.runs))
 		o.loseRuns(w, "worker started anew")
-		w.boot, w.reported, w.endsSeen, w.noted, w.seq = args.Worker.Boot, false, 0, 0, 0
+		w.boot, w.reported, w.endsSeen, w.noted, w.seq, w.suspicion = args.Worker.Boot, false, 0, 0, 0, suspicion{}
 	}
 	if w.from == args.Agent && args.Seq <= w.seq {
 		return w, false
