--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -27,6 +28,7 @@
 type group struct {
 	table *rows.Table
 	began time.Time
+	mu    sync.Mutex
 	all   []*candidate
 	gone  sync.Map // addresses of processes that no longer exist
 }
@@ -66,7 +68,7 @@
 		},
 		Confirm: func(_ context.Context, epoch uint64) bool {
 			all := true
-			for _, other := range g.all {
+			for _, other := range g.candidates() {
 				if other != c {
 					all = other.Promise(epoch) && all
 				}
@@ -75,17 +77,25 @@
 		},
 		OnAcquire: func(Term) { c.terms.Add(1) }, OnLose: func(string) { c.losses.Add(1) },
 	})
+	g.mu.Lock()
 	g.all = append(g.all, c)
+	g.mu.Unlock()
 	go m.Run(ctx)
 	go c.Run(ctx)
 	return c
 }
 
+func (g *group) candidates() []*candidate {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.all)
+}
+
 // owner returns the candidate with authority; it fails if there are several.
 func (g *group) owner(t *testing.T) *candidate {
 	t.Helper()
 	var owner *candidate
-	for _, c := range g.all {
+	for _, c := range g.candidates() {
 		if c.HasAuthority() {
 			if owner != nil {
 				t.Fatal("two entries have authority at once")
--- a/internal/taskdaemon/sim_test.go
+++ b/internal/taskdaemon/sim_test.go
@@ -661,6 +661,15 @@
 	return broken, faults, ends
 }
 
+// failedSeeds have broken a rule before:
+//   - 59: an owner that had been cut off removed the rows of workers before it
+//     learned that it was replaced, and the next owner waited for nobody (TWICE).
+//   - 38: the same, seen as two attempts of one epoch.
+//   - 37: an owner that the store turned away was confirmed by peers that the
+//     store served, and missed a cancellation (UNASKED).
+//   - 5: a job was answered as unknown while the store could not be asked (LOST).
+var failedSeeds = []uint64{59, 38, 37}
+
 // Guards against tasks that run twice, start too early, too often or unasked, and
 // against accepted jobs that are lost or shown wrongly, under random faults of
 // store, entries, agents, network and workers. A failed seed is played again with
@@ -672,6 +681,7 @@
 		for i := range *simDays {
 			seeds = append(seeds, uint64(i)+1)
 		}
+		seeds = append(seeds, failedSeeds...)
 	}
 	seen := map[string]int{}
 	done := 0
