--- a/internal/taskagent/agent.go
+++ b/internal/taskagent/agent.go
@@ -68,16 +68,16 @@
 	defer a.mu.Unlock()
 	old := a.sessions[w.ID]
 	switch {
-	case old == nil || old.isOver() && old.boot == w.Boot && old.lastBeat() < seq || old.boot < w.Boot:
+	case old == nil || old.isOver() && old.incarnation == w.Incarnation && old.lastBeat() < seq || old.incarnation < w.Incarnation:
 		if old != nil {
-			old.end("a newer boot has reported")
+			old.end("a newer incarnation has reported")
 		}
 		s := newSession(a, w, addr, seq)
 		a.sessions[w.ID] = s
-		a.o.Log.Event("worker_found", "worker", w.ID, "boot", w.Boot, "addr", addr, "draining", w.Draining,
+		a.o.Log.Event("worker_found", "worker", w.ID, "incarnation", w.Incarnation, "addr", addr, "draining", w.Draining,
 			"cpuMilli", w.Capacity.CPUMilli, "gpus", w.Capacity.GPUs, "rack", w.Rack)
 		a.wg.Go(func() { s.run(a.ctx) })
-	case old.boot == w.Boot:
+	case old.incarnation == w.Incarnation:
 		old.beat(w, seq)
 	}
 }
--- a/internal/taskagent/agent_test.go
+++ b/internal/taskagent/agent_test.go
@@ -120,7 +120,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.fence, w.lease = max(w.fence, c.Fence), max(w.lease, c.Deadline)
-	l := Listing{Answer: Answer{Clock: w.clock()}, Boot: 1}
+	l := Listing{Answer: Answer{Clock: w.clock()}, Incarnation: 1}
 	for id := range w.running {
 		l.Running = append(l.Running, taskrpc.Run{ID: id, State: taskrpc.RunRunning})
 	}
@@ -207,7 +207,7 @@
 			ID: "agent", Caller: r.owner, Log: eventlog.Discard(), Seeds: []string{"owner"}, Lease: testLease,
 			Connect: func(string, string) Worker { return r.worker },
 		})
-		r.agent.Heartbeat(taskrpc.Worker{ID: "w", Boot: 1, Capacity: workflow.Resources{CPUMilli: 64000, GPUs: 8}}, "addr", 1)
+		r.agent.Heartbeat(taskrpc.Worker{ID: "w", Incarnation: 1, Capacity: workflow.Resources{CPUMilli: 64000, GPUs: 8}}, "addr", 1)
 		time.Sleep(time.Second)
 		f(t, r)
 		cancel()
@@ -361,7 +361,7 @@
 // Guards against the start of work on a worker that is leaving.
 func TestDrainingWorkerStartsNothing(t *testing.T) {
 	run(t, func(t *testing.T, r *rig) {
-		r.agent.Heartbeat(taskrpc.Worker{ID: "w", Boot: 1, Draining: true}, "addr", 2)
+		r.agent.Heartbeat(taskrpc.Worker{ID: "w", Incarnation: 1, Draining: true}, "addr", 2)
 		r.order(testRun(1))
 		time.Sleep(time.Second)
 		r.worker.mu.Lock()
@@ -376,11 +376,11 @@
 // takes back its draining.
 func TestLateHeartbeatsAreIgnored(t *testing.T) {
 	run(t, func(t *testing.T, r *rig) {
-		r.agent.Heartbeat(taskrpc.Worker{ID: "w", Boot: 1, Draining: true}, "addr", 3)
-		r.agent.Heartbeat(taskrpc.Worker{ID: "w", Boot: 1}, "addr", 2)
-		r.agent.Heartbeat(taskrpc.Worker{ID: "w", Boot: 0}, "addr", 9)
+		r.agent.Heartbeat(taskrpc.Worker{ID: "w", Incarnation: 1, Draining: true}, "addr", 3)
+		r.agent.Heartbeat(taskrpc.Worker{ID: "w", Incarnation: 1}, "addr", 2)
+		r.agent.Heartbeat(taskrpc.Worker{ID: "w", Incarnation: 0}, "addr", 9)
 		time.Sleep(time.Second)
-		if w := r.owner.seen().Worker; !w.Draining || w.Boot != 1 {
+		if w := r.owner.seen().Worker; !w.Draining || w.Incarnation != 1 {
 			t.Fatalf("reported %+v", w)
 		}
 	})
--- a/internal/taskagent/orders.go
+++ b/internal/taskagent/orders.go
@@ -95,7 +95,7 @@
 		limited, cancel := context.WithTimeout(ctx, orderTimeout)
 		answer, err := s.api.Start(limited, call)
 		cancel()
-		if errors.Is(err, ErrOtherBoot) {
+		if errors.Is(err, ErrOtherIncarnation) {
 			s.end(err.Error())
 			return
 		}
@@ -167,7 +167,7 @@
 		if err == nil {
 			return true
 		}
-		if errors.Is(err, ErrOtherBoot) {
+		if errors.Is(err, ErrOtherIncarnation) {
 			s.end(err.Error())
 			return false
 		}
@@ -188,7 +188,7 @@
 		if err == nil && answer.Rejected == "" {
 			return true
 		}
-		if errors.Is(err, ErrOtherBoot) {
+		if errors.Is(err, ErrOtherIncarnation) {
 			s.end(err.Error())
 			return false
 		}
--- a/internal/taskagent/session.go
+++ b/internal/taskagent/session.go
@@ -46,10 +46,10 @@
 
 // session is one life of a worker.
 type session struct {
-	a    *Agent
-	id   string
-	boot int64
-	api  Worker
+	a           *Agent
+	id          string
+	incarnation int64
+	api         Worker
 
 	mu     sync.Mutex
 	worker taskrpc.Worker
@@ -86,7 +86,7 @@
 
 func newSession(a *Agent, w taskrpc.Worker, addr string, seq uint64) *session {
 	return &session{
-		a: a, id: w.ID, boot: w.Boot, api: a.o.Connect(addr, w.ID), worker: w, seq: seq, answered: time.Now(),
+		a: a, id: w.ID, incarnation: w.Incarnation, api: a.o.Connect(addr, w.ID), worker: w, seq: seq, answered: time.Now(),
 		renewed: time.Now(), // an earlier process of this agent may have renewed leases until now
 		runs:    map[workflow.RunID]*localRun{}, over: map[workflow.RunID]time.Time{},
 		dirty: make(chan struct{}, 1), wake: make(chan struct{}, 1), cancel: func() {},
@@ -150,7 +150,7 @@
 		return
 	}
 	s.gone = true
-	s.a.o.Log.Event("worker_gone", "worker", s.id, "boot", s.boot, "why", why, "runs", len(s.runs))
+	s.a.o.Log.Event("worker_gone", "worker", s.id, "incarnation", s.incarnation, "why", why, "runs", len(s.runs))
 	signal(s.dirty)
 	signal(s.wake)
 	s.cancel()
@@ -180,7 +180,7 @@
 		default:
 		}
 		if err := s.hold(ctx, wait); err != nil {
-			if errors.Is(err, ErrOtherBoot) {
+			if errors.Is(err, ErrOtherIncarnation) {
 				s.end(err.Error())
 				return
 			}
@@ -214,8 +214,8 @@
 		s.unanswered(err)
 		return err
 	}
-	if l.Boot != 0 && l.Boot != s.boot {
-		return ErrOtherBoot
+	if l.Incarnation != 0 && l.Incarnation != s.incarnation {
+		return ErrOtherIncarnation
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -241,7 +241,7 @@
 		return
 	}
 	s.silent = true
-	s.a.o.Log.Event("worker_lost", "worker", s.id, "boot", s.boot, "runs", len(s.runs), "err", err.Error())
+	s.a.o.Log.Event("worker_lost", "worker", s.id, "incarnation", s.incarnation, "runs", len(s.runs), "err", err.Error())
 	signal(s.dirty)
 }
 
@@ -255,7 +255,7 @@
 	s.answered, s.open = now, false
 	if s.silent {
 		s.silent = false
-		s.a.o.Log.Event("worker_regained", "worker", s.id, "boot", s.boot)
+		s.a.o.Log.Event("worker_regained", "worker", s.id, "incarnation", s.incarnation)
 		signal(s.dirty)
 	}
 	if clock > 0 {
--- a/internal/taskagent/worker.go
+++ b/internal/taskagent/worker.go
@@ -9,9 +9,9 @@
 	"github.com/parsleypier/parsleypier/internal/workflow"
 )
 
-// ErrOtherBoot is returned by a Worker if another life of the worker answers at
+// ErrOtherIncarnation is returned by a Worker if another life of the worker answers at
 // its address.
-var ErrOtherBoot = errors.New("another boot of the worker answers")
+var ErrOtherIncarnation = errors.New("another incarnation of the worker answers")
 
 // Reasons for which a worker rejects an order.
 const (
@@ -58,14 +58,14 @@
 // Listing is the answer to a HoldCall.
 type Listing struct {
 	Answer
-	// Boot is the life of the worker that answered; 0 if it does not say.
-	Boot    int64
-	Running []taskrpc.Run
-	Ended   []taskrpc.End
+	// Incarnation is the life of the worker that answered; 0 if it does not say.
+	Incarnation int64
+	Running     []taskrpc.Run
+	Ended       []taskrpc.End
 }
 
 // Worker carries orders to one life of a worker. An error says that the order
-// may have been carried out, or may be later, unless it is ErrOtherBoot.
+// may have been carried out, or may be later, unless it is ErrOtherIncarnation.
 type Worker interface {
 	Start(ctx context.Context, c StartCall) (Answer, error)
 	Stop(ctx context.Context, id workflow.RunID, fence uint64) (Answer, error)
--- a/internal/taskdaemon/sim_test.go
+++ b/internal/taskdaemon/sim_test.go
@@ -200,7 +200,7 @@
 func (s *sim) beat(w *simWorker) {
 	for seq := uint64(1); s.ctx.Err() == nil; seq++ {
 		w.mu.Lock()
-		up, boot := w.up, w.boot
+		up, incarnation := w.up, w.incarnation
 		w.mu.Unlock()
 		s.mu.Lock()
 		agent := s.agents[w.id]
@@ -208,7 +208,7 @@
 		if up && agent != nil {
 			rack := "r" + string(w.id[1]/2)
 			agent.Heartbeat(taskrpc.Worker{
-				ID: w.id, Boot: boot, Pool: "p", Rack: rack, Labels: []string{"k", rack},
+				ID: w.id, Incarnation: incarnation, Pool: "p", Rack: rack, Labels: []string{"k", rack},
 				Capacity: workflow.Resources{CPUMilli: 64000, MemoryMB: 262144, GPUs: 8},
 			}, w.id, seq)
 		}
@@ -317,7 +317,7 @@
 				if w.id == id {
 					w.mu.Lock()
 					defer w.mu.Unlock()
-					return conn{w, w.boot}
+					return conn{w, w.incarnation}
 				}
 			}
 			panic("no worker " + id)
@@ -667,7 +667,8 @@
 //   - 38: the same, seen as two attempts of one epoch.
 //   - 37: an owner that the store turned away was confirmed by peers that the
 //     store served, and missed a cancellation (UNASKED).
-//   - 5: a job was answered as unknown while the store could not be asked (LOST).
+//   - 5, which is among the first twelve: a job was answered as unknown while the
+//     store could not be asked (LOST).
 var failedSeeds = []uint64{59, 38, 37}
 
 // Guards against tasks that run twice, start too early, too often or unasked, and
--- a/internal/taskdaemon/sim_worker_test.go
+++ b/internal/taskdaemon/sim_worker_test.go
@@ -148,18 +148,18 @@
 	rng     *rand.Rand
 	all     func() []*simWorker
 
-	mu    sync.Mutex
-	boot  int64
-	born  time.Time
-	up    bool
-	fence uint64
-	until time.Duration // end of the leases on its clock
-	lease *time.Timer
-	room  workflow.Resources
-	runs  map[workflow.RunID]*simRun
-	over  map[workflow.TaskID]int // highest attempt that was stopped or ended
-	ends  []taskrpc.End
-	noted uint64
+	mu          sync.Mutex
+	incarnation int64
+	born        time.Time
+	up          bool
+	fence       uint64
+	until       time.Duration // end of the leases on its clock
+	lease       *time.Timer
+	room        workflow.Resources
+	runs        map[workflow.RunID]*simRun
+	over        map[workflow.TaskID]int // highest attempt that was stopped or ended
+	ends        []taskrpc.End
+	noted       uint64
 	// openDone has the ends done that were not noted, by number.
 	openDone map[uint64]workflow.TaskID
 	changed  chan struct{}
@@ -173,7 +173,7 @@
 }
 
 func (w *simWorker) start(now time.Time) {
-	w.boot, w.born, w.up = now.UnixMilli(), now, true
+	w.incarnation, w.born, w.up = now.UnixMilli(), now, true
 	w.fence, w.until, w.noted = 0, 0, 0
 	w.room = workflow.Resources{CPUMilli: 64000, MemoryMB: 262144, GPUs: 8}
 	w.runs, w.over, w.ends, w.openDone = map[workflow.RunID]*simRun{}, map[workflow.TaskID]int{}, nil, map[uint64]workflow.TaskID{}
@@ -231,24 +231,24 @@
 
 // conn is a connection to one life of a simWorker.
 type conn struct {
-	w    *simWorker
-	boot int64
+	w           *simWorker
+	incarnation int64
 }
 
 func (c conn) Close() {}
 
 func (c conn) Start(ctx context.Context, s taskagent.StartCall) (taskagent.Answer, error) {
-	if err := c.w.lost(ctx, func() { c.w.order(c.boot, s, true) }); err != nil {
+	if err := c.w.lost(ctx, func() { c.w.order(c.incarnation, s, true) }); err != nil {
 		return taskagent.Answer{}, err
 	}
-	return c.w.order(c.boot, s, false)
+	return c.w.order(c.incarnation, s, false)
 }
 
-func (w *simWorker) order(boot int64, s taskagent.StartCall, late bool) (taskagent.Answer, error) {
+func (w *simWorker) order(incarnation int64, s taskagent.StartCall, late bool) (taskagent.Answer, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.up || w.boot != boot {
-		return taskagent.Answer{}, taskagent.ErrOtherBoot
+	if !w.up || w.incarnation != incarnation {
+		return taskagent.Answer{}, taskagent.ErrOtherIncarnation
 	}
 	spec := w.history.spec(s.ID.Task.Job)
 	a := taskagent.Answer{Clock: w.clock()}
@@ -387,17 +387,17 @@
 }
 
 func (c conn) Stop(ctx context.Context, id workflow.RunID, fence uint64) (taskagent.Answer, error) {
-	if err := c.w.lost(ctx, func() { c.w.stop(c.boot, id, fence) }); err != nil {
+	if err := c.w.lost(ctx, func() { c.w.stop(c.incarnation, id, fence) }); err != nil {
 		return taskagent.Answer{}, err
 	}
-	return c.w.stop(c.boot, id, fence)
+	return c.w.stop(c.incarnation, id, fence)
 }
 
-func (w *simWorker) stop(boot int64, id workflow.RunID, fence uint64) (taskagent.Answer, error) {
+func (w *simWorker) stop(incarnation int64, id workflow.RunID, fence uint64) (taskagent.Answer, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.up || w.boot != boot {
-		return taskagent.Answer{}, taskagent.ErrOtherBoot
+	if !w.up || w.incarnation != incarnation {
+		return taskagent.Answer{}, taskagent.ErrOtherIncarnation
 	}
 	if fence < w.fence {
 		return taskagent.Answer{Clock: w.clock(), Rejected: taskagent.ReasonFence}, nil
@@ -421,13 +421,13 @@
 	if w.lease != nil {
 		w.lease.Stop()
 	}
-	boot := w.boot
-	w.lease = time.AfterFunc(time.Duration(float64(deadline-w.clock())/0.985)+time.Millisecond, func() { w.lapse(boot) })
+	incarnation := w.incarnation
+	w.lease = time.AfterFunc(time.Duration(float64(deadline-w.clock())/0.985)+time.Millisecond, func() { w.lapse(incarnation) })
 }
 
-func (w *simWorker) lapse(boot int64) {
+func (w *simWorker) lapse(incarnation int64) {
 	w.mu.Lock()
-	if w.boot != boot || !w.up || w.clock() < w.until {
+	if w.incarnation != incarnation || !w.up || w.clock() < w.until {
 		w.mu.Unlock()
 		return
 	}
@@ -444,11 +444,11 @@
 
 func (c conn) Hold(ctx context.Context, h taskagent.HoldCall) (taskagent.Listing, error) {
 	w := c.w
-	if err := w.lost(ctx, func() { w.renew(c.boot, h) }); err != nil {
+	if err := w.lost(ctx, func() { w.renew(c.incarnation, h) }); err != nil {
 		return taskagent.Listing{}, err
 	}
-	if !w.renew(c.boot, h) {
-		return taskagent.Listing{}, taskagent.ErrOtherBoot
+	if !w.renew(c.incarnation, h) {
+		return taskagent.Listing{}, taskagent.ErrOtherIncarnation
 	}
 	w.mu.Lock()
 	changed, any := w.changed, len(w.ends) > 0
@@ -463,9 +463,9 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	l := taskagent.Listing{Answer: taskagent.Answer{Clock: w.clock()}, Boot: w.boot, Ended: slices.Clone(w.ends)}
-	if w.boot != c.boot || !w.up {
-		return taskagent.Listing{}, taskagent.ErrOtherBoot
+	l := taskagent.Listing{Answer: taskagent.Answer{Clock: w.clock()}, Incarnation: w.incarnation, Ended: slices.Clone(w.ends)}
+	if w.incarnation != c.incarnation || !w.up {
+		return taskagent.Listing{}, taskagent.ErrOtherIncarnation
 	}
 	if h.Fence < w.fence {
 		l.Rejected = taskagent.ReasonFence
@@ -478,10 +478,10 @@
 }
 
 // renew carries a hold out; false if another life of the worker answers.
-func (w *simWorker) renew(boot int64, h taskagent.HoldCall) bool {
+func (w *simWorker) renew(incarnation int64, h taskagent.HoldCall) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.boot != boot || !w.up {
+	if w.incarnation != incarnation || !w.up {
 		return false
 	}
 	if h.Fence < w.fence {
--- a/internal/taskowner/owner.go
+++ b/internal/taskowner/owner.go
@@ -280,8 +280,8 @@
 type workerRow struct {
 	Addr string `json:"addr"` // of its agent
 	// Listens is the worker's own address.
-	Listens string `json:"listens"`
-	Boot    int64  `json:"boot"`
+	Listens     string `json:"listens"`
+	Incarnation int64  `json:"incarnation"`
 }
 
 func (o *Owner) observeWorker(id string, r rowstore.Row) {
@@ -299,7 +299,7 @@
 	}
 	if w == nil {
 		w = newWorker(id)
-		w.boot, w.addr, w.lastReply, w.info.Addr = row.Boot, row.Addr, time.Now(), row.Listens
+		w.incarnation, w.addr, w.lastReply, w.info.Addr = row.Incarnation, row.Addr, time.Now(), row.Listens
 		// A worker whose row an earlier owner wrote may run anything.
 		w.expected = true
 		o.workers[id] = w
--- a/internal/taskowner/owner_test.go
+++ b/internal/taskowner/owner_test.go
@@ -88,8 +88,8 @@
 	r.table.Put(testTable, workflow.RecordPrefix+id, value)
 }
 
-func (r *rig) member(id, listens string, boot int64) {
-	value, err := json.Marshal(workerRow{"agent-" + id, listens, boot})
+func (r *rig) member(id, listens string, incarnation int64) {
+	value, err := json.Marshal(workerRow{"agent-" + id, listens, incarnation})
 	if err != nil {
 		r.t.Fatal(err)
 	}
@@ -97,11 +97,11 @@
 }
 
 // report plays an agent's call for a worker.
-func (r *rig) report(id, listens string, boot int64, edit func(*taskrpc.SyncArgs)) *taskrpc.SyncReply {
+func (r *rig) report(id, listens string, incarnation int64, edit func(*taskrpc.SyncArgs)) *taskrpc.SyncReply {
 	r.seq++
 	args := &taskrpc.SyncArgs{
 		Agent: "agent-" + id, Addr: "agent-" + id, Seq: r.seq, Epoch: 2, Fence: 2, Wait: 300 * time.Millisecond,
-		Worker: taskrpc.Worker{ID: id, Boot: boot, Addr: listens, Rack: "r", Capacity: workflow.Resources{CPUMilli: 64000, MemoryMB: 1 << 18, GPUs: 8}},
+		Worker: taskrpc.Worker{ID: id, Incarnation: incarnation, Addr: listens, Rack: "r", Capacity: workflow.Resources{CPUMilli: 64000, MemoryMB: 1 << 18, GPUs: 8}},
 	}
 	if edit != nil {
 		edit(args)
@@ -112,9 +112,9 @@
 }
 
 // starts reports idle workers until one is told to start something, for up to d.
-func (r *rig) starts(id, listens string, boot int64, d time.Duration) []taskrpc.Start {
+func (r *rig) starts(id, listens string, incarnation int64, d time.Duration) []taskrpc.Start {
 	for deadline := time.Now().Add(d); time.Now().Before(deadline); {
-		if reply := r.report(id, listens, boot, nil); len(reply.Start) > 0 {
+		if reply := r.report(id, listens, incarnation, nil); len(reply.Start) > 0 {
 			return reply.Start
 		}
 	}
--- a/internal/taskowner/persist.go
+++ b/internal/taskowner/persist.go
@@ -135,7 +135,7 @@
 		txn.Checks = append(txn.Checks, rowstore.Check{Table: o.o.Table, Key: key, Version: version})
 		if w.row {
 			txn.Deletes = append(txn.Deletes, rowstore.Ref{Table: o.o.Table, Key: key})
-		} else if value, err := json.Marshal(workerRow{w.addr, w.info.Addr, w.boot}); err == nil {
+		} else if value, err := json.Marshal(workerRow{w.addr, w.info.Addr, w.incarnation}); err == nil {
 			txn.Puts = append(txn.Puts, rowstore.Put{Table: o.o.Table, Key: key, Value: value})
 		}
 		workers = append(workers, w)
--- a/internal/taskowner/worker.go
+++ b/internal/taskowner/worker.go
@@ -18,7 +18,7 @@
 type worker struct {
 	id, agent, addr string
 	info            taskrpc.Worker
-	boot            int64
+	incarnation     int64
 	fence           uint64
 
 	// row says that the worker's row is stored, rowVersion is its version.
@@ -244,7 +244,7 @@
 	}
 	w, current := o.accept(args)
 	if !current {
-		reply.Superseded = w != nil && args.Worker.Boot == w.boot
+		reply.Superseded = w != nil && args.Worker.Incarnation == w.incarnation
 		return
 	}
 	if args.Worker.Lapsed {
@@ -307,17 +307,17 @@
 			return nil, false
 		}
 		w = newWorker(args.Worker.ID)
-		w.boot, w.lastReply = args.Worker.Boot, time.Now()
+		w.incarnation, w.lastReply = args.Worker.Incarnation, time.Now()
 		o.workers[args.Worker.ID] = w
 		signal(o.dirty)
 	}
 	switch {
-	case args.Worker.Boot < w.boot:
+	case args.Worker.Incarnation < w.incarnation:
 		return w, false
-	case args.Worker.Boot > w.boot:
-		o.o.Log.Event("worker_rebooted", "worker", w.id, "boot", args.Worker.Boot, "before", w.boot, "runs", len(w.runs))
+	case args.Worker.Incarnation > w.incarnation:
+		o.o.Log.Event("worker_restarted", "worker", w.id, "incarnation", args.Worker.Incarnation, "before", w.incarnation, "runs", len(w.runs))
 		o.loseRuns(w, "worker started anew")
-		w.boot, w.reported, w.endsSeen, w.noted, w.seq, w.suspicion = args.Worker.Boot, false, 0, 0, 0, suspicion{}
+		w.incarnation, w.reported, w.endsSeen, w.noted, w.seq, w.suspicion = args.Worker.Incarnation, false, 0, 0, 0, suspicion{}
 	}
 	if w.from == args.Agent && args.Seq <= w.seq {
 		return w, false
@@ -342,7 +342,7 @@
 // which has answered its agent there: two processes cannot.
 func (o *Owner) replaced(w *worker) {
 	for _, other := range o.workers {
-		if other != w && other.info.Addr != "" && other.info.Addr == w.info.Addr && other.boot < w.boot && !other.lost {
+		if other != w && other.info.Addr != "" && other.info.Addr == w.info.Addr && other.incarnation < w.incarnation && !other.lost {
 			o.removeWorker(other, "replaced by "+w.id)
 		}
 	}
@@ -352,7 +352,7 @@
 // runs that it may forget.
 func (o *Owner) report(w *worker, args *taskrpc.SyncArgs) []workflow.RunID {
 	if !w.reported {
-		o.o.Log.Event("worker_reported", "worker", w.id, "agent", args.Agent, "boot", w.boot, "runs", len(args.Runs), "ends", len(args.Ends),
+		o.o.Log.Event("worker_reported", "worker", w.id, "agent", args.Agent, "incarnation", w.incarnation, "runs", len(args.Runs), "ends", len(args.Ends),
 			"expected", w.expected, "epoch", o.o.Epoch)
 		o.replaced(w)
 	}
--- a/internal/taskrpc/taskrpc.go
+++ b/internal/taskrpc/taskrpc.go
@@ -22,10 +22,10 @@
 // Worker is a worker as its agent knows it.
 type Worker struct {
 	ID string
-	// Boot tells two lives of a worker apart; it grows.
-	Boot int64
-	Pool string
-	Zone string
+	// Incarnation tells two lives of a worker apart; it grows.
+	Incarnation int64
+	Pool        string
+	Zone        string
 	// Addr is where the worker listens; one life of a worker at a time does.
 	Addr     string
 	Rack     string
