--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,10 @@
 # Seeds of the randomised runs of make prove.
 PROVE_SEEDS ?= 1 4 8
 
-.PHONY: build build-faults test lint scenario demo bench prove chaos slopes latency cluster clean
+# Time or number of inputs for each fuzz target.
+FUZZTIME ?= 20000x
+
+.PHONY: build build-faults test lint scenario fuzz demo bench prove chaos slopes latency cluster clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -26,6 +29,12 @@
 scenario:
 	skip=$$(.ci/known-red) && $(GO) test -count=1 -timeout 170s $${skip:+"$$skip"} ./test/scenario -set ci
 
+# The decoders of the users' platform and of stored names.
+fuzz:
+	for target in FuzzDecodeJob FuzzDecodeLists FuzzDecodeConfig; do \
+	  $(GO) test ./platform -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZTIME) || exit 1; done
+	$(GO) test ./internal/workflow -run '^$$' -fuzz '^FuzzParseTaskID$$' -fuzztime $(FUZZTIME)
+
 chaos: build-faults
 	timeout $$(( $(DURATION) + 170 )) $(GO) run ./test/chaos -seed $(SEED) -duration $(DURATION)
 
