Place work only on the workers of its pool; keep the platform's names in platform/

The sites at hand have one service each. The test in taskplan fails before and passes after. The process tests and the demo on the stand-in move to platform/hosted, since they speak the platform's wire.

--- a/internal/taskowner/cycle.go
+++ b/internal/taskowner/cycle.go
@@ -142,7 +142,7 @@
 	step := &j.rec.Spec.Steps[task.Step]
 	r := &run{
 		id: workflow.RunID{Task: task, Attempt: attempt}, job: j, step: step, worker: w, state: taskrpc.RunStarting,
-		ordered: o.now(), expected: expected, guaranteed: guaranteed, moved: o.now(),
+		ordered: o.now(), expected: expected, guaranteed: guaranteed,
 		remote:  expected > time.Duration(1.5*float64(o.estimate(j, step))),
 		resumed: j.prog.Checkpoint(&j.rec.Spec, task) != "",
 	}
@@ -166,7 +166,7 @@
 			continue
 		}
 		snap.Workers = append(snap.Workers, taskplan.Worker{
-			ID: w.id, Rack: w.info.Rack, Labels: w.info.Labels, Capacity: w.info.Capacity, Free: w.free(),
+			ID: w.id, Rack: w.info.Rack, Pool: w.info.Pool, Labels: w.info.Labels, Capacity: w.info.Capacity, Free: w.free(),
 			Usable: o.usable(w), Slowdown: 1, Probe: w.suspicion.probing() || o.health.State(now, w.id) == structs.WorkerProbing,
 		})
 		for _, r := range w.runs {
@@ -262,7 +262,7 @@
 		return taskplan.Group{}, false
 	}
 	g := taskplan.Group{
-		Job: j.id, ID: part, Need: step.Holds(), Gang: step.Gang, SameRack: step.SameRack, DataRack: step.DataRack, Label: step.Label,
+		Job: j.id, ID: part, Need: step.Holds(), Gang: step.Gang, SameRack: step.SameRack, DataRack: step.DataRack, Label: step.Label, Pool: j.rec.Pool,
 		MaxPerWorker: step.MaxPerWorker, Avoid: j.avoid,
 	}
 	for i := range step.Tasks {
--- a/internal/taskowner/job.go
+++ b/internal/taskowner/job.go
@@ -71,8 +71,6 @@
 	resumed          bool // started from a checkpoint
 	checkpoint       string
 	percent          int
-	// moved is when percent last grew.
-	moved time.Duration
 	// stopping is the reason for which it is being stopped.
 	stopping string
 }
--- a/internal/taskowner/worker.go
+++ b/internal/taskowner/worker.go
@@ -410,7 +410,7 @@
 	}
 	r := &run{
 		id: rep.ID, job: j, step: step, worker: w, state: rep.State, ordered: o.now(), started: o.now(), resumed: true,
-		expected: o.estimate(j, step), guaranteed: o.guaranteed(j), moved: o.now(), checkpoint: rep.Checkpoint,
+		expected: o.estimate(j, step), guaranteed: o.guaranteed(j), checkpoint: rep.Checkpoint,
 	}
 	w.runs[rep.ID], j.runs[task] = r, r
 	o.o.Log.Event("run_adopted", "job", j.id, "run", rep.ID.String(), "worker", w.id, "percent", rep.Percent)
@@ -421,7 +421,7 @@
 func (o *Owner) update(r *run, rep taskrpc.Run) {
 	now := o.now()
 	if rep.State != taskrpc.RunStarting && r.state == taskrpc.RunStarting {
-		r.started, r.moved = now, now
+		r.started = now
 		startTime.Add(telemetry.Bucket(now-r.ordered), 1)
 		o.o.Log.Event("run_started", "job", r.job.id, "run", r.id.String(), "worker", r.worker.id, "afterMs", (now - r.ordered).Milliseconds())
 		if !r.job.prog.Begun {
@@ -431,9 +431,7 @@
 	}
 	r.state = rep.State
 	r.checkpoint = cmp.Or(rep.Checkpoint, r.checkpoint)
-	if rep.Percent > r.percent {
-		r.percent, r.moved = rep.Percent, now
-	}
+	r.percent = max(r.percent, rep.Percent)
 }
 
 // rejected ends a run that the worker did not start.
--- a/internal/taskplan/taskplan.go
+++ b/internal/taskplan/taskplan.go
@@ -15,6 +15,8 @@
 // Worker is a worker as the decision sees it.
 type Worker struct {
 	ID, Rack string
+	// Pool is the service that the worker belongs to.
+	Pool     string
 	Labels   []string
 	Capacity workflow.Resources
 	// Free is what is left beside everything that runs, starts or stops there.
@@ -40,6 +42,8 @@
 	SameRack bool
 	DataRack string
 	Label    string
+	// Pool is the service whose workers may run the group.
+	Pool string
 	// MaxPerWorker limits the tasks of the step on a worker; Present counts those
 	// that are there already.
 	MaxPerWorker int
@@ -274,7 +278,7 @@
 
 // eligible reports whether the worker may run the group's tasks at all.
 func (n *node) eligible(g *Group) bool {
-	return n.Usable && !g.Avoid[n.ID] && (g.Label == "" || slices.Contains(n.Labels, g.Label)) && n.Capacity.Fits(g.Need)
+	return n.Usable && n.Pool == g.Pool && !g.Avoid[n.ID] && (g.Label == "" || slices.Contains(n.Labels, g.Label)) && n.Capacity.Fits(g.Need)
 }
 
 // remote reports whether the group's tasks are slowed on the rack.
--- a/internal/taskplan/taskplan_test.go
+++ b/internal/taskplan/taskplan_test.go
@@ -267,6 +267,19 @@
 				t.Errorf("%d starts, want 7", len(p.Starts))
 			}
 		}},
+		{"work runs only on the workers of its pool", func(s *Snapshot) {
+			for i := range s.Workers {
+				s.Workers[i].Pool = "other"
+			}
+			s.Workers[1].Pool = "mine"
+			g := group("a", 2, gpus(8))
+			g.Pool = "mine"
+			s.Groups = []Group{g}
+		}, func(t *testing.T, _ *Snapshot, p *Plan) {
+			if got := placed(p, 0); !slices.Equal(got, []string{"w01"}) {
+				t.Errorf("placed on %v", got)
+			}
+		}},
 		{"a required label holds", func(s *Snapshot) {
 			s.Workers[3].Labels = []string{"b"}
 			g := group("a", 2, gpus(8))
--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -21,6 +21,7 @@
 	"github.com/parsleypier/parsleypier/internal/manifest"
 	"github.com/parsleypier/parsleypier/internal/standin/worker"
 	"github.com/parsleypier/parsleypier/internal/structs"
+	"github.com/parsleypier/parsleypier/platform/hosted"
 	"github.com/parsleypier/parsleypier/test/cluster"
 )
 
@@ -78,7 +79,7 @@
 			os.Exit(1)
 		}
 	}
-	if err := runHosted(ctx, *bin, *out); err != nil {
+	if err := hosted.Demo(ctx, *bin, *out); err != nil {
 		fmt.Fprintf(os.Stderr, "demo: users' platform: %v\n", err)
 		os.Exit(1)
 	}
