Serve established connections before a listener closes

Cause: a leaving entry closed its listener while the kernel held connections that the process had not accepted yet; they were reset with their requests (TestScenarios/rolling-replacement, seen once beside load). Ruled out: idle connections closed by http.Server.Shutdown; the client had sent its request on a new connection. Change: package acceptor takes what is established before it closes; used by the entry and by the hosted processes. Conclusion: what remains is a connection that the kernel establishes within microseconds of the close.

--- a/cmd/parsleypierd/hosted.go
+++ b/cmd/parsleypierd/hosted.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/parsleypier/parsleypier/internal/acceptor"
 	"github.com/parsleypier/parsleypier/internal/boottime"
 	"github.com/parsleypier/parsleypier/internal/eventlog"
 	"github.com/parsleypier/parsleypier/internal/rowstore"
@@ -101,7 +102,8 @@
 		{Addr: s.ReadyAddr, Handler: platform.Ready(e.Ready), ReadHeaderTimeout: headerTimeout},
 		{Addr: s.MetricsAddr, Handler: metrics, ReadHeaderTimeout: headerTimeout},
 	}
-	if err := listen(servers, log); err != nil {
+	listeners, err := listen(servers, log)
+	if err != nil {
 		return err
 	}
 	background, stop := context.WithCancel(context.Background())
@@ -114,7 +116,7 @@
 	defer cancel()
 	e.Leave(leave)
 	time.Sleep(time.Duration(lingerShare*float64(s.Times.Grace)) - time.Since(started))
-	err = shutdown(leave, servers)
+	err = shutdown(leave, servers, listeners)
 	server.Close(leave)
 	pool.Close()
 	return err
@@ -136,7 +138,8 @@
 		{Addr: s.WorkerAddr, Handler: &platform.Heartbeats{Agent: a.Agent, Pool: s.LocalPool}, ReadHeaderTimeout: headerTimeout},
 		{Addr: s.MetricsAddr, Handler: metrics, ReadHeaderTimeout: headerTimeout},
 	}
-	if err := listen(servers, log); err != nil {
+	listeners, err := listen(servers, log)
+	if err != nil {
 		return err
 	}
 	<-ctx.Done()
@@ -146,7 +149,7 @@
 	defer cancel()
 	server.Close(limited)
 	pool.Close()
-	return shutdown(limited, servers)
+	return shutdown(limited, servers, listeners)
 }
 
 // serveRPC serves the other processes.
@@ -161,26 +164,29 @@
 	return server, err
 }
 
-func listen(servers []*http.Server, log *eventlog.Log) error {
-	for _, server := range servers {
+func listen(servers []*http.Server, log *eventlog.Log) ([]*acceptor.Listener, error) {
+	listeners := make([]*acceptor.Listener, len(servers))
+	for i, server := range servers {
 		l, err := net.Listen("tcp", server.Addr)
 		if err != nil {
-			return fmt.Errorf("listen on %s: %w", server.Addr, err)
+			return nil, fmt.Errorf("listen on %s: %w", server.Addr, err)
 		}
+		listeners[i] = acceptor.New(l)
 		go func() {
-			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(listeners[i]); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				log.Event("listener_lost", "addr", server.Addr, "err", err.Error())
 			}
 		}()
 	}
-	return nil
+	return listeners, nil
 }
 
-func shutdown(ctx context.Context, servers []*http.Server) error {
+// shutdown answers what has been sent on established connections and closes all.
+func shutdown(ctx context.Context, servers []*http.Server, listeners []*acceptor.Listener) error {
 	var wg sync.WaitGroup
 	errs := make([]error, len(servers))
 	for i, server := range servers {
-		wg.Go(func() { errs[i] = server.Shutdown(ctx) })
+		wg.Go(func() { errs[i] = errors.Join(listeners[i].Drain(ctx), server.Shutdown(ctx)) })
 	}
 	wg.Wait()
 	return errors.Join(errs...)
--- a/internal/entry/api_test.go
+++ b/internal/entry/api_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -293,3 +294,40 @@
 		t.Error(err)
 	}
 }
+
+// lateListener accepts nothing until its gate is open.
+type lateListener struct {
+	*net.TCPListener
+	gate chan struct{}
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.gate
+	return l.TCPListener.Accept()
+}
+
+// Guards against a drain that resets a connection which was established before
+// the listener closed and not accepted yet.
+func TestDrainServesEstablishedConnection(t *testing.T) {
+	s, _ := newServer(t, func(c *Config) { c.Linger = -1 })
+	l := &lateListener{listen(t).(*net.TCPListener), make(chan struct{})}
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	late := dial(t, l)
+	send(t, late, "POST", "/v1/jobs", submitBody("bench", "order", "k"))
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(ctx) }()
+	for !s.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond)
+	close(l.gate)
+	if r := receive(t, late); r.StatusCode != 503 || !r.Close {
+		t.Errorf("status %d, close %t", r.StatusCode, r.Close)
+	}
+	if err := errors.Join(<-drained, <-served); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
+	"github.com/parsleypier/parsleypier/internal/acceptor"
 	"github.com/parsleypier/parsleypier/internal/retry"
 	"github.com/parsleypier/parsleypier/internal/rpc"
 	"github.com/parsleypier/parsleypier/internal/structs"
@@ -113,6 +114,8 @@
 	cfg     Config
 	handler http.Handler
 	http    *http.Server
+	// listener is what Serve accepts from.
+	listener atomic.Pointer[acceptor.Listener]
 
 	draining atomic.Bool
 	// cut is closed when waiting requests must be answered with what is known.
@@ -201,10 +204,13 @@
 
 // Serve answers requests on l until Drain. It returns nil after Drain.
 func (s *Server) Serve(l net.Listener) error {
-	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return err
+	listener := acceptor.New(l)
+	s.listener.Store(listener)
+	err := s.http.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) || s.draining.Load() && errors.Is(err, net.ErrClosed) {
+		return nil
 	}
-	return nil
+	return err
 }
 
 const (
@@ -235,7 +241,11 @@
 	}
 	// The listener closes now and not when nothing is in progress: while requests
 	// come in there would be one to be cut off at the end of ctx.
-	err := s.http.Shutdown(ctx)
+	var err error
+	if l := s.listener.Load(); l != nil {
+		err = l.Drain(ctx)
+	}
+	err = errors.Join(err, s.http.Shutdown(ctx))
 	for err == nil && s.inFlight.Load()+s.flying.Load() > 0 {
 		if !retry.Sleep(ctx, drainPollInterval) {
 			err = ctx.Err()
--- a/internal/netfault/faults.go
+++ b/internal/netfault/faults.go
@@ -98,13 +98,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return listener{l}, nil
+	return listener{l.(*net.TCPListener)}, nil
 }
 
-type listener struct{ net.Listener }
+type listener struct{ *net.TCPListener }
 
 func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	c, err := l.TCPListener.Accept()
 	if err != nil {
 		return nil, err
 	}
