Take a worker as ended when its own VM refuses connections to it

Ruled out: cuts of the network. Change: 300 ms of refusals on the same VM end the life of the worker. TestCrashedWorkerIsGoneBeforeItsLease fails before.

--- a/internal/taskagent/agent_test.go
+++ b/internal/taskagent/agent_test.go
@@ -22,6 +22,8 @@
 	mu     sync.Mutex
 	begun  time.Time
 	silent bool
+	// crashed says that the worker's process does not exist.
+	crashed bool
 	// drop is the number of orders that are left unanswered, late those of them
 	// that are carried out by the test.
 	drop    int
@@ -46,7 +48,11 @@
 	if w.drop > 0 {
 		w.drop--
 	}
+	crashed := w.crashed
 	w.mu.Unlock()
+	if crashed {
+		return ErrNotListening
+	}
 	if !lost {
 		return nil
 	}
@@ -247,6 +253,42 @@
 	})
 }
 
+// Guards against tasks of a worker that crashed on a VM that lives, which wait
+// for the end of leases: andrade-sleeves-grown scale-1, seed 1.
+func TestCrashedWorkerIsGoneBeforeItsLease(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		r.order(testRun(1))
+		time.Sleep(time.Second)
+		r.worker.mu.Lock()
+		r.worker.crashed = true
+		r.worker.mu.Unlock()
+		time.Sleep(2*refusedLimit + holdWait)
+		if w := r.owner.seen().Worker; !w.Gone {
+			t.Fatalf("the crashed worker is reported as %+v", w)
+		}
+	})
+}
+
+// Guards against a worker that counts as gone while it only restarts its
+// listener.
+func TestBriefRefusalIsNoEnd(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		for range 20 {
+			r.worker.mu.Lock()
+			r.worker.crashed = true
+			r.worker.mu.Unlock()
+			time.Sleep(refusedLimit * 2 / 3)
+			r.worker.mu.Lock()
+			r.worker.crashed = false
+			r.worker.mu.Unlock()
+			time.Sleep(refusedLimit)
+		}
+		if w := r.owner.seen().Worker; w.Gone {
+			t.Fatal("the worker is reported as gone")
+		}
+	})
+}
+
 // Guards against a second start of the same attempt by an order that was left
 // unanswered, and against giving the order up.
 func TestUnansweredStartIsRepeated(t *testing.T) {
--- a/internal/taskagent/session.go
+++ b/internal/taskagent/session.go
@@ -76,6 +76,8 @@
 	answered   time.Time // when the worker last answered
 	silent     bool
 	gone       bool
+	// refused is since when connections to the worker are refused.
+	refused time.Time
 
 	dirty  chan struct{} // something to report
 	wake   chan struct{} // something to tell the worker
@@ -180,7 +182,7 @@
 		default:
 		}
 		if err := s.hold(ctx, wait); err != nil {
-			if errors.Is(err, ErrOtherIncarnation) {
+			if errors.Is(err, ErrOtherIncarnation) || s.refusedFor() >= refusedLimit {
 				s.end(err.Error())
 				return
 			}
@@ -237,6 +239,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open = true
+	switch {
+	case !errors.Is(err, ErrNotListening):
+		s.refused = time.Time{}
+	case s.refused.IsZero():
+		s.refused = time.Now()
+	}
 	if errors.Is(err, context.Canceled) || s.silent || time.Since(s.answered) < silentAfter {
 		return
 	}
@@ -245,6 +253,21 @@
 	signal(s.dirty)
 }
 
+// refusedLimit is how long connections to a worker are refused until its process
+// counts as ended. The worker is on this VM, so that no cut of the network looks
+// like this; a process that only restarts its listener is back sooner.
+const refusedLimit = 300 * time.Millisecond
+
+// refusedFor returns how long connections to the worker have been refused.
+func (s *session) refusedFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refused.IsZero() {
+		return 0
+	}
+	return time.Since(s.refused)
+}
+
 // silentAfter is the time without an answer after which a worker receives no
 // more work; one hold can be left unanswered without that.
 const silentAfter = 1800 * time.Millisecond
@@ -252,7 +275,7 @@
 // heard takes note of the worker's clock. The lock is held.
 func (s *session) heard(clock time.Duration) {
 	now := time.Now()
-	s.answered, s.open = now, false
+	s.answered, s.open, s.refused = now, false, time.Time{}
 	if s.silent {
 		s.silent = false
 		s.a.o.Log.Event("worker_regained", "worker", s.id, "incarnation", s.incarnation)
--- a/internal/taskagent/worker.go
+++ b/internal/taskagent/worker.go
@@ -13,6 +13,10 @@
 // its address.
 var ErrOtherIncarnation = errors.New("another incarnation of the worker answers")
 
+// ErrNotListening is returned by a Worker if this VM's kernel answers that no
+// process listens at the worker's address.
+var ErrNotListening = errors.New("no process listens at the worker's address")
+
 // Reasons for which a worker rejects an order.
 const (
 	ReasonFence     = "fence"     // a higher fencing token has been used
@@ -65,7 +69,8 @@
 }
 
 // Worker carries orders to one life of a worker. An error says that the order
-// may have been carried out, or may be later, unless it is ErrOtherIncarnation.
+// may have been carried out, or may be later, unless it is ErrOtherIncarnation
+// or ErrNotListening.
 type Worker interface {
 	Start(ctx context.Context, c StartCall) (Answer, error)
 	Stop(ctx context.Context, id workflow.RunID, fence uint64) (Answer, error)
