Give records partitions of their own; do not fail over from an overloaded store

Status 429 was taken for a store that turns the process away: each write was sent again through two peers, and all calls of the process failed at once for a quarter of a second. Ruled out: the limits of calls a second (800 and more; about 40 were made). TestFailoverDoesNotRepeatOverload and TestWritesUnderTheFenceKeepTheOwner name the pattern.

--- a/cmd/parsleypierd/hosted.go
+++ b/cmd/parsleypierd/hosted.go
@@ -19,6 +19,7 @@
 	"github.com/parsleypier/parsleypier/internal/rpc"
 	"github.com/parsleypier/parsleypier/internal/taskdaemon"
 	"github.com/parsleypier/parsleypier/internal/taskowner"
+	"github.com/parsleypier/parsleypier/internal/workflow"
 	"github.com/parsleypier/parsleypier/platform"
 )
 
@@ -77,7 +78,11 @@
 	return runHostedAgent(ctx, s, log, reload)
 }
 
-func openStore(e rowstore.Exchange) rowstore.Store { return &platform.Store{Do: e} }
+func openStore(e rowstore.Exchange) rowstore.Store {
+	return &platform.Store{
+		Do: e, Table: taskdaemon.Table, Layout: platform.Layout{Of: workflow.Partition, All: workflow.Partitions()},
+	}
+}
 
 func runHostedEntry(ctx context.Context, s *platform.Settings, log *eventlog.Log, reload func(func([]string))) error {
 	pool := rpc.NewPool("", s.Process, nil)
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -85,10 +85,13 @@
 	o Options
 
 	mu sync.Mutex
-	// row is the newest known row, changed when it was first seen.
+	// row is the newest known row, changed when it or another write of the owner
+	// was first seen.
 	row     Holder
 	version uint64
 	changed time.Time
+	// life is the newest version of another row that the owner wrote.
+	life uint64
 	// holding says that this process is owner; confirmed is when the last
 	// confirmation began, on Clock.
 	holding   bool
@@ -152,6 +155,26 @@
 	}
 }
 
+// NoteFenced takes note that a write of the owner which checks the fence, and was
+// sent at a time on Clock, took effect: nobody had taken over until then.
+func (e *Elector) NoteFenced(epoch uint64, sent time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.holding && e.row.Epoch == epoch {
+		e.confirmed = max(e.confirmed, sent)
+	}
+}
+
+// NoteLife takes note that the owner of the newest known epoch has written a row
+// of the given version: it lives, though its row may not have been renewed.
+func (e *Elector) NoteLife(version uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if version > e.version && version > e.life && !e.holding {
+		e.life, e.changed = version, time.Now()
+	}
+}
+
 // Promise says that this process will not take over for Expiry from now. It
 // promises only while the store does not serve it either: an owner that alone is
 // out of touch misses what others accept, and has to be replaced. It reports
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -225,3 +225,32 @@
 		}
 	})
 }
+
+// Guards against a takeover from an owner whose renewals wait behind other writes
+// of a slow store, and against an owner that stops acting though its writes under
+// the fence take effect: andrade-sleeves-grown trouble-2, seed 1.
+func TestWritesUnderTheFenceKeepTheOwner(t *testing.T) {
+	elect(t, 3, func(_ context.Context, g *group) {
+		owner := g.owner(t)
+		holder, _ := owner.Owner()
+		owner.cancel() // it renews no more
+		for range 20 {
+			version := g.table.Put(table, "progress/x", []byte("{}"))
+			for _, c := range g.candidates() {
+				if c == owner {
+					c.NoteFenced(holder.Epoch, time.Since(g.began))
+				} else {
+					c.NoteLife(version)
+				}
+			}
+			time.Sleep(500 * time.Millisecond)
+			if g.owner(t) != owner {
+				t.Fatal("the owner has lost its authority")
+			}
+		}
+		time.Sleep(Expiry + time.Second)
+		if next := g.owner(t); next == nil || next == owner {
+			t.Fatal("nobody has taken over from an owner that writes nothing")
+		}
+	})
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -29,6 +29,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		store := rows.New()
+		store.Partition = workflow.Partition
 		open := func(name string) *Gateway {
 			var g *Gateway
 			m := rowstore.NewMirror(store.For(name), table, eventlog.Discard(), func(r []rowstore.Row) { g.Observe(r) })
--- a/internal/rowstore/failover.go
+++ b/internal/rowstore/failover.go
@@ -61,6 +61,21 @@
 	outage      time.Time // calls fail at once until then
 	turnedAway  bool
 	next        int // peer that served last
+	// read is when a read was last served directly.
+	read time.Time
+}
+
+// readFresh is the age of a direct read up to which a write that is turned away
+// with status 429 means a store that is overloaded, and not one that turns this
+// process away: the feed reads every 0.8 s and less.
+const readFresh = 1200 * time.Millisecond
+
+// overloaded reports whether the answer to a direct call says that the store has
+// too much to do. The call would meet the same through a peer, and add to it.
+func (f *Failover) overloaded(c Call, a Answer) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return c.Write && a.Status == http.StatusTooManyRequests && time.Since(f.read) < readFresh
 }
 
 // Do carries a call. The error is platform_unavailable.
@@ -93,11 +108,12 @@
 		return a, false
 	}
 	if !viaPeers {
-		if a, ok := try(f.Direct); ok {
-			f.served()
+		a, ok := try(f.Direct)
+		if ok {
+			f.served(c)
 			return a, nil
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || f.overloaded(c, a) {
 			return Answer{}, unserved(result, last)
 		}
 		f.refused(last)
@@ -107,7 +123,7 @@
 	}
 	if viaPeers && ctx.Err() == nil {
 		if a, ok := try(f.Direct); ok {
-			f.served()
+			f.served(c)
 			return a, nil
 		}
 	}
@@ -153,8 +169,11 @@
 	return Answer{}, false
 }
 
-func (f *Failover) served() {
+func (f *Failover) served(c Call) {
 	f.mu.Lock()
+	if !c.Write {
+		f.read = time.Now()
+	}
 	regained := f.turnedAway
 	f.turnedAway, f.avoidDirect, f.outage = false, time.Time{}, time.Time{}
 	f.mu.Unlock()
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -40,7 +40,9 @@
 // Ref names a row.
 type Ref struct{ Table, Key string }
 
-// Txn is a transaction: all checks hold and all writes take effect, or none.
+// Txn is a transaction: all checks hold and all writes take effect, or none. All
+// its rows are in one partition; a partition applies its transactions one after
+// the other.
 // Every row that it writes or removes must be checked; then a transaction can be
 // sent again when its answer was lost.
 type Txn struct {
@@ -84,7 +86,9 @@
 	// Commit applies a transaction and returns its version, which is that of
 	// every row it wrote.
 	Commit(ctx context.Context, txn Txn) (uint64, error)
-	// List returns rows with keys at or after from, in ascending order.
+	// List returns rows with keys at or after from, in ascending order. Rows of
+	// different partitions may be as of different moments, none of them before the
+	// page's version.
 	List(ctx context.Context, table, from string, limit int) (Page, error)
 	// Get returns a row; false if it does not exist.
 	Get(ctx context.Context, table, key string) (Row, bool, error)
--- a/internal/rowstore/rowstore_test.go
+++ b/internal/rowstore/rowstore_test.go
@@ -134,6 +134,43 @@
 	})
 }
 
+// Guards against an overloaded store that gets each write three times, and against
+// a process that refuses everything because one write was too many: on a day
+// with a slow store (andrade-sleeves-grown trouble-2, seed 1) nobody could take
+// the ownership for 5 s.
+func TestFailoverDoesNotRepeatOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var writes, peer atomic.Int64
+		f := &rowstore.Failover{
+			Direct: func(_ context.Context, c rowstore.Call) (rowstore.Answer, error) {
+				if c.Write {
+					writes.Add(1)
+					return rowstore.Answer{Status: http.StatusTooManyRequests}, nil
+				}
+				return rowstore.Answer{Status: http.StatusOK}, nil
+			},
+			Peers: func() []rowstore.Exchange { return []rowstore.Exchange{answering(http.StatusTooManyRequests, &peer)} },
+			Log:   eventlog.Discard(),
+		}
+		for range 10 {
+			if _, err := f.Do(t.Context(), rowstore.Call{}); err != nil {
+				t.Fatalf("a read fails beside an overload of writes: %v", err)
+			}
+			if _, err := f.Do(t.Context(), rowstore.Call{Write: true}); verdict.Of(err) != verdict.NotRun {
+				t.Fatalf("the refused write ends with %v", err)
+			}
+		}
+		if writes.Load() != 10 || peer.Load() != 0 {
+			t.Errorf("10 writes became %d, and %d through the peer", writes.Load(), peer.Load())
+		}
+		// Without any read that is served, the process itself is turned away.
+		time.Sleep(2 * time.Second)
+		if _, err := f.Do(t.Context(), rowstore.Call{Write: true}); err == nil || peer.Load() != 1 {
+			t.Errorf("a process that may be turned away has asked its peer %d times", peer.Load())
+		}
+	})
+}
+
 // Guards against callers that wait in an outage, against load on a store that is
 // away, and against an untrue refusal.
 func TestFailoverFailsFastInOutage(t *testing.T) {
--- a/internal/standin/rows/rows.go
+++ b/internal/standin/rows/rows.go
@@ -39,6 +39,9 @@
 	faults  Faults
 	writes  int
 	changed chan struct{}
+	// Partition assigns rows to partitions; nil for one. It is set before use.
+	// Transactions over several partitions are refused.
+	Partition func(key string) string
 }
 
 // New returns an empty table.
@@ -141,7 +144,28 @@
 // lostAnswer is how long a caller waits for an answer that is lost.
 const lostAnswer = 200 * time.Millisecond
 
+// onePartition reports whether all rows of a transaction are in one partition.
+func (t *Table) onePartition(txn rowstore.Txn) bool {
+	if t.Partition == nil {
+		return true
+	}
+	seen := map[string]bool{}
+	for _, c := range txn.Checks {
+		seen[t.Partition(c.Key)] = true
+	}
+	for _, p := range txn.Puts {
+		seen[t.Partition(p.Key)] = true
+	}
+	for _, d := range txn.Deletes {
+		seen[t.Partition(d.Key)] = true
+	}
+	return len(seen) <= 1
+}
+
 func (t *Table) apply(txn rowstore.Txn) (uint64, error) {
+	if !t.onePartition(txn) {
+		return 0, verdict.Refuse(verdict.CodeBadRequest, "a transaction over several partitions")
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	conflict := &rowstore.Conflict{}
--- a/internal/taskdaemon/entry.go
+++ b/internal/taskdaemon/entry.go
@@ -180,8 +180,11 @@
 
 func (e *Entry) observe(rows []rowstore.Row) {
 	for _, r := range rows {
-		if r.Key == election.RowKey {
+		switch prefix, _ := workflow.CutKey(r.Key); {
+		case r.Key == election.RowKey:
 			e.elector.Observe(r)
+		case prefix == workflow.ProgressPrefix || prefix == workflow.WorkerPrefix:
+			e.elector.NoteLife(r.Version)
 		}
 	}
 	e.Gateway.Observe(rows)
@@ -219,7 +222,7 @@
 	o := taskowner.New(taskowner.Options{
 		ID: e.o.ID, Addr: e.o.RPCAddr, Epoch: term.Epoch, Version: term.Version, Store: e.store, Mirror: e.rows, Table: Table,
 		Config: e.Config, Caller: e.o.Caller, Log: e.o.Log, Entries: e.entryAddrs, Authority: e.elector.HasAuthority,
-		NoticeEpoch: e.elector.NoticeEpoch, Decide: taskplan.Decide, Times: e.o.Times, UnixMillis: unixMillis,
+		NoticeEpoch: e.elector.NoticeEpoch, NoteFenced: e.elector.NoteFenced, Clock: e.o.Clock, Decide: taskplan.Decide, Times: e.o.Times, UnixMillis: unixMillis,
 	})
 	e.mu.Lock()
 	e.owner, e.term = o, term
--- a/internal/taskdaemon/sim_test.go
+++ b/internal/taskdaemon/sim_test.go
@@ -167,10 +167,17 @@
 	}, nil
 }
 
+// partitioned returns a table that refuses transactions over several partitions.
+func partitioned() *rows.Table {
+	t := rows.New()
+	t.Partition = workflow.Partition
+	return t
+}
+
 func newSim(ctx context.Context, t *testing.T, seed uint64) *sim {
 	s := &sim{
 		t: t, ctx: ctx, rng: &lockedRand{rng: rand.New(rand.NewPCG(seed, 1))}, net: &simNet{services: map[string]map[string]any{}, cut: map[string]bool{}},
-		table: rows.New(), history: newHistory(), log: eventlog.Discard(), entries: map[string]*simEntry{}, agents: map[string]*Agent{},
+		table: partitioned(), history: newHistory(), log: eventlog.Discard(), entries: map[string]*simEntry{}, agents: map[string]*Agent{},
 		faults: map[string]int{},
 	}
 	if *simLog != "" {
--- a/internal/taskowner/collect.go
+++ b/internal/taskowner/collect.go
@@ -43,7 +43,7 @@
 	limit := o.o.UnixMillis() - (o.o.Times.Kept + collectMargin).Milliseconds()
 	var ids []string
 	for id, j := range o.jobs {
-		if j.rec == nil || !j.stored.Final() || j.gen != j.durable || len(j.runs) > 0 || j.prog.EndedAt > limit {
+		if !j.stored.Final() || j.gen != j.durable || len(j.runs) > 0 || j.prog.EndedAt > limit {
 			continue
 		}
 		if ids = append(ids, id); len(ids) == collectJobs {
@@ -53,22 +53,44 @@
 	return ids
 }
 
+// remove removes the records first: a job whose record is left would run again,
+// while other rows without a record mean nothing and are found by the next look.
 func (o *Owner) remove(ids []string) {
-	txn := rowstore.Txn{Checks: []rowstore.Check{o.fence()}}
+	records := map[string][]string{} // by partition
+	var keys []string
 	for _, id := range ids {
-		for _, prefix := range []string{workflow.RecordPrefix, workflow.CancelPrefix, workflow.ProgressPrefix} {
-			if row, ok := o.o.Mirror.Get(prefix + id); ok {
-				txn.Checks = append(txn.Checks, rowstore.Check{Table: o.o.Table, Key: row.Key, Version: row.Version})
-				txn.Deletes = append(txn.Deletes, rowstore.Ref{Table: o.o.Table, Key: row.Key})
-			}
+		record := workflow.RecordPrefix + id
+		records[workflow.Partition(record)] = append(records[workflow.Partition(record)], record)
+		keys = append(keys, workflow.CancelPrefix+id, workflow.ProgressPrefix+id)
+	}
+	for _, part := range records {
+		if !o.removeRows(rowstore.Txn{}, part...) {
+			return
+		}
+	}
+	if o.removeRows(rowstore.Txn{Checks: []rowstore.Check{o.fence()}}, keys...) {
+		o.o.Log.Event("rows_removed", "jobs", len(ids))
+	}
+}
+
+// removeRows adds the removal of those rows that exist to a transaction, and
+// reports whether they are gone.
+func (o *Owner) removeRows(txn rowstore.Txn, keys ...string) bool {
+	for _, key := range keys {
+		if row, ok := o.o.Mirror.Get(key); ok {
+			txn.Checks = append(txn.Checks, rowstore.Check{Table: o.o.Table, Key: row.Key, Version: row.Version})
+			txn.Deletes = append(txn.Deletes, rowstore.Ref{Table: o.o.Table, Key: row.Key})
 		}
 	}
+	if len(txn.Deletes) == 0 {
+		return true
+	}
 	ctx, cancel := context.WithTimeout(o.ctx, writeTimeout)
 	defer cancel()
 	if _, err := o.o.Store.Commit(ctx, txn); err != nil {
 		// The rows are still there at the next look.
-		o.o.Log.Event("rows_not_removed", "jobs", len(ids), "err", err.Error())
-		return
+		o.o.Log.Event("rows_not_removed", "rows", len(txn.Deletes), "err", err.Error())
+		return false
 	}
-	o.o.Log.Event("rows_removed", "jobs", len(ids))
+	return true
 }
--- a/internal/taskowner/owner.go
+++ b/internal/taskowner/owner.go
@@ -55,8 +55,13 @@
 	Authority func() bool
 	// NoticeEpoch is called when an agent has seen a higher epoch.
 	NoticeEpoch func(uint64)
-	Decide      func(*taskplan.Snapshot) *taskplan.Plan
-	Times       Times
+	// NoteFenced is called after a write under the fence, with the time on Clock
+	// at which it was sent.
+	NoteFenced func(epoch uint64, sent time.Duration)
+	// Clock is a steady clock that counts suspensions.
+	Clock  func() time.Duration
+	Decide func(*taskplan.Snapshot) *taskplan.Plan
+	Times  Times
 	// UnixMillis returns the time of day.
 	UnixMillis func() int64
 }
@@ -231,7 +236,9 @@
 func (o *Owner) observeRecord(id string, r rowstore.Row) {
 	j := o.jobs[id]
 	if r.Deleted {
-		delete(o.jobs, id)
+		if j != nil && len(j.runs) == 0 {
+			j.rec = nil // its other rows are removed after the record
+		}
 		return
 	}
 	if j != nil && j.rec != nil {
@@ -261,6 +268,9 @@
 func (o *Owner) observeProgress(id string, r rowstore.Row) {
 	j := o.jobs[id]
 	if r.Deleted {
+		if j != nil && j.rec == nil {
+			delete(o.jobs, id)
+		}
 		return
 	}
 	if j == nil {
--- a/internal/taskowner/owner_test.go
+++ b/internal/taskowner/owner_test.go
@@ -43,7 +43,9 @@
 	table     *rows.Table
 	owner     *Owner
 	authority bool
-	seq       uint64
+	// fenced counts the writes under the fence.
+	fenced int
+	seq    uint64
 }
 
 // play starts an owner of epoch 2 over what prepare has written, on virtual time.
@@ -52,6 +54,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		r := &rig{t: t, table: rows.New(), authority: true}
+		r.table.Partition = workflow.Partition
 		prepare(r)
 		version := r.table.Put(testTable, election.FenceKey, []byte("{}"))
 		store := r.table.For("owner")
@@ -60,10 +63,12 @@
 				r.owner.Observe(changed)
 			}
 		})
+		began := time.Now()
 		r.owner = New(Options{
 			ID: "owner", Addr: "owner", Epoch: 2, Version: version, Store: store, Mirror: mirror, Table: testTable,
 			Config: testConfig{}, Caller: noCalls{}, Log: eventlog.Discard(), Entries: func() []string { return nil },
 			Authority: func() bool { return r.authority }, NoticeEpoch: func(uint64) { r.authority = false },
+			NoteFenced: func(uint64, time.Duration) { r.fenced++ }, Clock: func() time.Duration { return time.Since(began) },
 			Decide: taskplan.Decide, UnixMillis: func() int64 { return time.Now().UnixMilli() },
 			Times: Times{Lease: testLease, StopGrace: 200 * time.Millisecond, GangWait: 3 * time.Second, Reclaim: 2700 * time.Millisecond, RemotePenalty: 3, Kept: time.Minute},
 		})
--- a/internal/taskowner/persist.go
+++ b/internal/taskowner/persist.go
@@ -63,6 +63,7 @@
 	if len(txn.Checks) > 0 {
 		txn.Checks = append(txn.Checks, o.fence())
 	}
+	clock := o.o.Clock()
 	members := map[*worker]bool{} // whether the transaction makes it a member
 	for _, w := range workers {
 		members[w] = !w.row
@@ -89,6 +90,7 @@
 			"verdict", verdict.Of(err).String(), "afterMs", time.Since(sent).Milliseconds())
 		return true, err
 	}
+	o.o.NoteFenced(o.o.Epoch, clock)
 	for _, wr := range jobs {
 		wr.job.progVersion, wr.job.durable, wr.job.stored = version, wr.gen, wr.state
 		if wr.state.Final() {
