Start steps of queues with placement advice; slow down rejected starts

Cause: a queue that names placement advice could not be served: its starts have no ticket, are rejected and were ordered again at once, without end. Ruled out: asking from the agents, since the service answers each calling VM in turn and the owner alone knows which step comes first. A step whose starts are rejected waits 0.1 to 5 s after the second rejection.

--- a/cmd/parsleypierd/hosted.go
+++ b/cmd/parsleypierd/hosted.go
@@ -89,7 +89,7 @@
 	e := taskdaemon.NewEntry(taskdaemon.EntryOptions{
 		ID: s.Process, RPCAddr: s.RPCAddr, Seeds: s.Seeds, Exchange: platform.NewStoreExchange(s.StoreAddr), OpenStore: openStore,
 		OperatorTable: platform.OperatorTable, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig, Log: log,
-		Caller: pool, Clock: boottime.Now, ProcessGone: taskdaemon.ProcessGone,
+		Caller: pool, Advisor: platform.NewAdvisor(s.AdviceAddr), Clock: boottime.Now, ProcessGone: taskdaemon.ProcessGone,
 		Times: taskowner.Times{
 			Lease: s.Times.MaxLease, StopGrace: s.Times.StopGrace, GangWait: s.Times.GangWait, Kept: s.Times.Kept,
 			RemotePenalty: s.Times.RemotePenalty, Reclaim: s.Times.Reclaim,
--- a/internal/taskagent/orders.go
+++ b/internal/taskagent/orders.go
@@ -83,7 +83,7 @@
 			return // listed meanwhile
 		}
 		call := StartCall{
-			ID: order.ID, Payload: order.Payload, Checkpoint: order.Checkpoint, Fence: s.fence,
+			ID: order.ID, Payload: order.Payload, Checkpoint: order.Checkpoint, Ticket: order.Ticket, Fence: s.fence,
 			Deadline: s.clockNow(time.Now()) + startWindow,
 		}
 		s.startsSent = time.Now()
--- a/internal/taskagent/worker.go
+++ b/internal/taskagent/worker.go
@@ -23,6 +23,7 @@
 	ReasonOld       = "old"       // the run or a later one has ended there
 	ReasonLate      = "late"      // the deadline has passed on the worker's clock
 	ReasonRoom      = "room"      // not enough capacity
+	ReasonTicket    = "ticket"    // the placement advice's ticket is missing or no longer valid
 	ReasonUnhealthy = "unhealthy" // the worker takes nothing at present
 	ReasonInvalid   = "invalid"   // the worker does not understand the order
 	ReasonDraining  = "draining"  // the worker is leaving
@@ -35,6 +36,7 @@
 	ID         workflow.RunID
 	Payload    string
 	Checkpoint string
+	Ticket     string
 	Fence      uint64
 	// Deadline is the time on the worker's clock after which it must not start.
 	Deadline time.Duration
--- a/internal/taskdaemon/entry.go
+++ b/internal/taskdaemon/entry.go
@@ -61,6 +61,8 @@
 	Log                      *eventlog.Log
 	// Caller calls the other processes.
 	Caller taskowner.Caller
+	// Advisor gives the placement advice; nil if the deployment has none.
+	Advisor taskowner.Advisor
 	// Clock is a steady clock that counts suspensions.
 	Clock func() time.Duration
 	// ProcessGone reports whether the process at an RPC address certainly no
@@ -221,7 +223,7 @@
 func (e *Entry) acquire(term election.Term) {
 	o := taskowner.New(taskowner.Options{
 		ID: e.o.ID, Addr: e.o.RPCAddr, Epoch: term.Epoch, Version: term.Version, Store: e.store, Mirror: e.rows, Table: Table,
-		Config: e.Config, Caller: e.o.Caller, Log: e.o.Log, Entries: e.entryAddrs, Authority: e.elector.HasAuthority,
+		Config: e.Config, Caller: e.o.Caller, Advisor: e.o.Advisor, Log: e.o.Log, Entries: e.entryAddrs, Authority: e.elector.HasAuthority,
 		NoticeEpoch: e.elector.NoticeEpoch, NoteFenced: e.elector.NoteFenced, Clock: e.o.Clock, Decide: taskplan.Decide, Times: e.o.Times, UnixMillis: unixMillis,
 	})
 	e.mu.Lock()
--- a/internal/taskowner/cycle.go
+++ b/internal/taskowner/cycle.go
@@ -47,6 +47,7 @@
 	o.endSplitGangs()
 	snap, groups := o.snapshot()
 	o.reportLoad(snap)
+	o.seekAdvice(snap, groups)
 	plan := o.o.Decide(snap)
 	for _, s := range plan.Stops {
 		why := "worker leaves"
@@ -145,7 +146,7 @@
 		id: workflow.RunID{Task: task, Attempt: attempt}, job: j, step: step, worker: w, state: taskrpc.RunStarting,
 		ordered: o.now(), expected: expected, guaranteed: guaranteed,
 		remote:  expected > time.Duration(1.5*float64(o.estimate(j, step))),
-		resumed: j.prog.Checkpoint(&j.rec.Spec, task) != "",
+		resumed: j.prog.Checkpoint(&j.rec.Spec, task) != "", ticket: j.ticket(g.part, w),
 	}
 	j.attempts[task] = attempt
 	j.runs[task], w.runs[r.id] = r, r
@@ -267,7 +268,7 @@
 	spec := &j.rec.Spec
 	step := &spec.Steps[part.Step]
 	progress := j.prog.Part(spec, part)
-	if due := spec.DueAt(part.Occurrence); due > o.o.UnixMillis() || !j.prog.MayStart(spec, part) || len(progress.Done) == step.Tasks {
+	if due := spec.DueAt(part.Occurrence); due > o.o.UnixMillis() || now < j.rejected[part].until || !j.prog.MayStart(spec, part) || len(progress.Done) == step.Tasks {
 		return taskplan.Group{}, false
 	}
 	g := taskplan.Group{
@@ -299,6 +300,7 @@
 		j.ready[part] = max(now, 1)
 	}
 	g.Since = j.ready[part]
+	g.Allowed = o.allowed(j, part)
 	o.fill(j, step, &g)
 	return g, true
 }
--- a/internal/taskowner/job.go
+++ b/internal/taskowner/job.go
@@ -33,6 +33,37 @@
 	avoid    map[string]bool // workers on which a run failed
 	ready    map[workflow.PartID]time.Duration
 	waits    map[workflow.PartID]string // last reason that was logged
+	advice   map[workflow.PartID]*advice
+	// rejected counts the starts of a step that workers rejected since one began.
+	rejected map[workflow.PartID]rejections
+}
+
+// rejections delay the next start of a step that workers keep rejecting.
+type rejections struct {
+	count int
+	until time.Duration // on the owner's clock
+}
+
+// Constants of rejected starts.
+const (
+	// freeRejections may come from a worker that has changed meanwhile; the next
+	// start follows at once.
+	freeRejections = 2
+	rejectionPause = 100 * time.Millisecond
+	// maxRejectionPause bounds the pauses, which double.
+	maxRejectionPause = 5 * time.Second
+)
+
+func (r rejections) next(now time.Duration) rejections {
+	r.count++
+	if r.count > freeRejections {
+		r.until = now + min(rejectionPause<<min(r.count-freeRejections-1, 10), maxRejectionPause)
+	}
+	return r
+}
+
+func partOf(t workflow.TaskID) workflow.PartID {
+	return workflow.PartID{Occurrence: t.Occurrence, Step: t.Step}
 }
 
 func (j *job) fill(rec *workflow.Record, version uint64, now time.Duration, inherited bool) {
@@ -41,6 +72,7 @@
 		j.prog = &workflow.Progress{}
 	}
 	j.attempts, j.runs = map[workflow.TaskID]int{}, map[workflow.TaskID]*run{}
+	j.advice, j.rejected = map[workflow.PartID]*advice{}, map[workflow.PartID]rejections{}
 	j.avoid, j.ready, j.waits = map[string]bool{}, map[workflow.PartID]time.Duration{}, map[workflow.PartID]string{}
 }
 
@@ -69,6 +101,7 @@
 	remote           bool // away from its data or its gang
 	guaranteed       bool
 	resumed          bool // started from a checkpoint
+	ticket           string
 	checkpoint       string
 	// percent is the progress that the agent reported, percentAt when that was new.
 	percent   int
--- a/internal/taskowner/owner.go
+++ b/internal/taskowner/owner.go
@@ -48,6 +48,8 @@
 	Table   string
 	Config  Config
 	Caller  Caller
+	// Advisor gives the placement advice; nil if the deployment has none.
+	Advisor Advisor
 	Log     *eventlog.Log
 	// Entries returns the RPC addresses of all entries.
 	Entries func() []string
@@ -127,8 +129,10 @@
 	// loadReported is when the load was last logged.
 	loadReported time.Time
 	stopped      bool
-	kick         chan struct{} // something to decide
-	dirty        chan struct{} // something to write
+	// asking says that a call for advice is in progress.
+	asking bool
+	kick   chan struct{} // something to decide
+	dirty  chan struct{} // something to write
 }
 
 // New returns an owner that does nothing until Start.
--- a/internal/taskowner/owner_test.go
+++ b/internal/taskowner/owner_test.go
@@ -30,10 +30,13 @@
 	return verdict.Refuse(verdict.CodeUnavailable, "no network")
 }
 
-type testConfig struct{ gpus int }
+type testConfig struct {
+	gpus   int
+	advice *workflow.Advice
+}
 
-func (testConfig) Terms(string) (workflow.Terms, bool) {
-	return workflow.Terms{MaxAttempts: 2, Stretch: 3}, true
+func (c testConfig) Terms(string) (workflow.Terms, bool) {
+	return workflow.Terms{MaxAttempts: 2, Stretch: 3, Advice: c.advice}, true
 }
 func (c testConfig) GuaranteedGPUs(string) int { return c.gpus }
 
@@ -44,8 +47,10 @@
 	owner     *Owner
 	authority bool
 	// fenced counts the writes under the fence.
-	fenced int
-	seq    uint64
+	fenced  int
+	config  testConfig
+	advisor Advisor
+	seq     uint64
 }
 
 // play starts an owner of epoch 2 over what prepare has written, on virtual time.
@@ -66,7 +71,7 @@
 		began := time.Now()
 		r.owner = New(Options{
 			ID: "owner", Addr: "owner", Epoch: 2, Version: version, Store: store, Mirror: mirror, Table: testTable,
-			Config: testConfig{}, Caller: noCalls{}, Log: eventlog.Discard(), Entries: func() []string { return nil },
+			Config: r.config, Advisor: r.advisor, Caller: noCalls{}, Log: eventlog.Discard(), Entries: func() []string { return nil },
 			Authority: func() bool { return r.authority }, NoticeEpoch: func(uint64) { r.authority = false },
 			NoteFenced: func(uint64, time.Duration) { r.fenced++ }, Clock: func() time.Duration { return time.Since(began) },
 			Decide: taskplan.Decide, UnixMillis: func() int64 { return time.Now().UnixMilli() },
--- a/internal/taskowner/worker.go
+++ b/internal/taskowner/worker.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/parsleypier/parsleypier/internal/structs"
+	"github.com/parsleypier/parsleypier/internal/taskagent"
 	"github.com/parsleypier/parsleypier/internal/taskrpc"
 	"github.com/parsleypier/parsleypier/internal/telemetry"
 	"github.com/parsleypier/parsleypier/internal/verdict"
@@ -409,7 +410,7 @@
 		return nil
 	}
 	step := &j.rec.Spec.Steps[task.Step]
-	part := workflow.PartID{Occurrence: task.Occurrence, Step: task.Step}
+	part := partOf(task)
 	j.attempts[task] = max(j.attempts[task], rep.ID.Attempt)
 	other := j.runs[task]
 	if !j.active() || other != nil || j.prog.Part(&j.rec.Spec, part).IsDone(task.Index) {
@@ -430,6 +431,7 @@
 	now := o.now()
 	if rep.State != taskrpc.RunStarting && r.state == taskrpc.RunStarting {
 		r.started = now
+		delete(r.job.rejected, partOf(r.id.Task))
 		startTime.Add(telemetry.Bucket(now-r.ordered), 1)
 		o.o.Log.Event("run_started", "job", r.job.id, "run", r.id.String(), "worker", r.worker.id, "afterMs", (now - r.ordered).Milliseconds())
 		if !r.job.prog.Begun {
@@ -450,6 +452,11 @@
 		r.job.prog.NoteEnd(&r.job.rec.Spec, r.id, workflow.EndLost, r.checkpoint)
 	}
 	rejects.Add(reason, 1)
+	part := partOf(r.id.Task)
+	r.job.rejected[part] = r.job.rejected[part].next(o.now())
+	if reason == taskagent.ReasonTicket {
+		r.job.dropTicket(part, w)
+	}
 	o.endRun(r, workflow.EndLost, "rejected: "+reason)
 }
 
@@ -468,7 +475,7 @@
 			reply.Stop = append(reply.Stop, id)
 		case r.stopping == "" && !ok:
 			reply.Start = append(reply.Start, taskrpc.Start{
-				ID: id, Payload: r.job.rec.Spec.Payload, Checkpoint: r.job.prog.Checkpoint(&r.job.rec.Spec, id.Task),
+				ID: id, Payload: r.job.rec.Spec.Payload, Checkpoint: r.job.prog.Checkpoint(&r.job.rec.Spec, id.Task), Ticket: r.ticket,
 			})
 		}
 	}
--- a/internal/taskplan/taskplan.go
+++ b/internal/taskplan/taskplan.go
@@ -51,6 +51,8 @@
 	// Avoid lists workers on which the group's tasks failed. They are used only
 	// when no other worker could run the group.
 	Avoid map[string]bool
+	// Allowed lists the only workers that may run the group; nil if all may.
+	Allowed map[string]bool
 	// Expected is the run time of a task on a sound worker near its data, Chain the
 	// longest chain of work that the job still has, this step included, and Area
 	// the core-seconds of all its remaining work.
@@ -287,7 +289,7 @@
 
 // eligible reports whether the worker may run the group's tasks at all.
 func (n *node) eligible(g *Group) bool {
-	return n.Usable && n.Pool == g.Pool && !g.Avoid[n.ID] && (g.Label == "" || slices.Contains(n.Labels, g.Label)) && n.Capacity.Fits(g.Need)
+	return n.Usable && n.Pool == g.Pool && !g.Avoid[n.ID] && (g.Allowed == nil || g.Allowed[n.ID]) && (g.Label == "" || slices.Contains(n.Labels, g.Label)) && n.Capacity.Fits(g.Need)
 }
 
 // remote reports whether the group's tasks are slowed on the rack.
--- a/internal/taskrpc/taskrpc.go
+++ b/internal/taskrpc/taskrpc.go
@@ -96,6 +96,8 @@
 	ID         workflow.RunID
 	Payload    string
 	Checkpoint string
+	// Ticket is the placement advice's permission; empty if none is needed.
+	Ticket string
 }
 
 // SyncReply is what the owner wants of a worker. Err has the code not_owner if
--- a/internal/workflow/spec.go
+++ b/internal/workflow/spec.go
@@ -251,4 +251,15 @@
 	// which a job is on time.
 	Stretch float64 `json:"stretch,omitempty"`
 	Slack   Millis  `json:"slackMs,omitempty"`
+	// Advice says that only the placement advice knows which workers may run a
+	// step; nil if all of the pool may.
+	Advice *Advice `json:"advice,omitempty"`
+}
+
+// Advice is what a queue says of its placement advice: an answer takes Decide and
+// PerWorker for each worker that is named, and its tickets are valid for Validity.
+type Advice struct {
+	Decide    Millis `json:"decideMs,omitempty"`
+	PerWorker Millis `json:"perWorkerMs,omitempty"`
+	Validity  Millis `json:"validityMs,omitempty"`
 }
