Let gangs wait for their rack, rank those that fit in none, pack by usable GPUs

Cause: a gang that wants one rack was spread as soon as it seemed on time even so; it then held its workers three times as long, and ended late by any error of its estimate. A gang that fits in no rack ranked as if it ran at full speed. And best fit by GPUs alone put tasks of 26 cores where they left GPUs without cores. TestGangWaitsForRackOrSpreads, TestGangWiderThanRacksComesLast and one case of TestPackingKeepsGPUsUsable fail before.

--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,7 @@
 
 bench:
 	$(GO) run ./cmd/bench --format $(FORMAT)
+	$(GO) run ./cmd/bench --workflows
 
 # What the processes use against each size; SHORT=1 for a run of 90 s.
 slopes: build
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/jessevdk/go-flags"
 	"github.com/parsleypier/parsleypier/internal/bench"
+	"github.com/parsleypier/parsleypier/internal/taskbench"
 )
 
 type options struct {
@@ -27,6 +28,8 @@
 	Short       bool   `long:"short" description:"A quarter of the time and one seed"`
 	Cost        bool   `long:"cost" description:"Measure only the cost of a decision"`
 	NoCost      bool   `long:"no-cost" description:"Leave out the cost of a decision"`
+	Workflows   bool   `long:"workflows" description:"Measure only the decision for workflows"`
+	Days        int    `long:"days" default:"4" description:"Number of days for each load of workflows"`
 }
 
 func main() {
@@ -53,6 +56,10 @@
 		return err
 	}
 	start := time.Now()
+	if o.Workflows {
+		writeWorkflows(o.Days)
+		return nil
+	}
 	if !o.Cost {
 		results, err := x.Run(ctx)
 		if err != nil {
@@ -76,6 +83,19 @@
 	return nil
 }
 
+// writeWorkflows prints what the policies for workflows earn on the same arrivals.
+func writeWorkflows(days int) {
+	policies := taskbench.Policies()
+	for _, l := range taskbench.Loads() {
+		fmt.Printf("%s; %d days; alone each job would earn up to the bound\n", l.Name, days)
+		fmt.Printf("  %-22s %6s %6s %7s %6s %6s %7s %6s\n", "policy", "worth", "bound", "urgent", "large", "batch", "thrown", "idle")
+		for i, r := range taskbench.Compare(l, days, policies) {
+			fmt.Printf("  %-22s %6.3f %6.3f %7.3f %6.3f %6.3f %7.3f %6.3f\n", policies[i].Name, r.Worth, r.Bound,
+				r.ByQueue["urgent"], r.ByQueue["large"], r.ByQueue["batch"], r.Thrown, r.Idle)
+		}
+	}
+}
+
 // longFlags accepts long flags with one dash, as the flag package of the
 // standard library does: -format json.
 func longFlags(args []string) []string {
--- /dev/null
+++ b/internal/taskbench/policies.go
@@ -0,0 +1,107 @@
+package taskbench
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/parsleypier/parsleypier/internal/taskplan"
+)
+
+// Policy is a decision with its name.
+type Policy struct {
+	Name   string
+	Decide Decide
+}
+
+// Policies are the usual ones, and ours last.
+func Policies() []Policy {
+	arrival := func(a, b *taskplan.Group) int { return cmp.Compare(a.Since, b.Since) }
+	shortest := func(a, b *taskplan.Group) int { return cmp.Compare(a.Area, b.Area) }
+	priority := func(a, b *taskplan.Group) int { return cmp.Compare(a.Priority, b.Priority) }
+	return []Policy{
+		{"first come", listPolicy(true, arrival)},
+		{"first come, backfill", listPolicy(false, arrival)},
+		{"shortest first", listPolicy(false, shortest, arrival)},
+		{"priority, backfill", listPolicy(false, priority, arrival)},
+		{"parsleypier", taskplan.Decide},
+	}
+}
+
+// listPolicy starts groups in an order, gangs whole and in one rack if they want
+// that and fit in one, first fit. strict stops at the first group that does not fit.
+func listPolicy(strict bool, order ...func(a, b *taskplan.Group) int) Decide {
+	return func(s *taskplan.Snapshot) *taskplan.Plan {
+		plan := &taskplan.Plan{}
+		workers := slices.Clone(s.Workers)
+		index := make([]int, len(s.Groups))
+		for i := range index {
+			index[i] = i
+		}
+		slices.SortStableFunc(index, func(a, b int) int {
+			for _, o := range order {
+				if c := o(&s.Groups[a], &s.Groups[b]); c != 0 {
+					return c
+				}
+			}
+			return 0
+		})
+		for _, g := range index {
+			if !firstFit(plan, workers, g, &s.Groups[g]) && strict {
+				break
+			}
+		}
+		return plan
+	}
+}
+
+// firstFit starts what fits of a group and reports whether all of it did.
+func firstFit(plan *taskplan.Plan, workers []taskplan.Worker, g int, group *taskplan.Group) bool {
+	racks := []string{""}
+	if group.SameRack {
+		racks = nil
+		for i := range workers {
+			if !slices.Contains(racks, workers[i].Rack) {
+				racks = append(racks, workers[i].Rack)
+			}
+		}
+		racks = append(racks, "") // no rack holds it: anywhere
+	}
+	for _, rack := range racks {
+		left := group.Tasks
+		var starts []taskplan.Start
+		after := slices.Clone(workers)
+		for i := range after {
+			w := &after[i]
+			for len(left) > 0 && (rack == "" || w.Rack == rack) && w.Free.Fits(group.Need) {
+				w.Free = w.Free.Add(group.Need, -1)
+				starts = append(starts, taskplan.Start{Group: g, Task: left[0], Worker: w.ID, Expected: group.Expected})
+				left = left[1:]
+			}
+		}
+		if len(left) == 0 || !group.Gang {
+			plan.Starts = append(plan.Starts, starts...)
+			copy(workers, after)
+			return len(left) == 0
+		}
+	}
+	return false
+}
+
+// Compare plays the first days of a load for each policy and returns the means.
+func Compare(l *Load, days int, policies []Policy) []Result {
+	out := make([]Result, len(policies))
+	for i, p := range policies {
+		sum := Result{ByQueue: map[string]float64{}}
+		for seed := range uint64(days) {
+			r := Play(l, seed, p.Decide)
+			n := float64(days)
+			sum.Worth, sum.Bound = sum.Worth+r.Worth/n, sum.Bound+r.Bound/n
+			sum.Thrown, sum.Idle = sum.Thrown+r.Thrown/n, sum.Idle+r.Idle/n
+			for q, v := range r.ByQueue {
+				sum.ByQueue[q] += v / n
+			}
+		}
+		out[i] = sum
+	}
+	return out
+}
--- /dev/null
+++ b/internal/taskplan/gang_test.go
@@ -0,0 +1,107 @@
+package taskplan
+
+import (
+	"testing"
+	"time"
+
+	"github.com/parsleypier/parsleypier/internal/workflow"
+)
+
+// rackGang returns a gang that wants one rack.
+func rackGang(job string, n int, need workflow.Resources) Group {
+	g := group(job, n, need)
+	g.Gang, g.SameRack = true, true
+	return g
+}
+
+// The load: gangs of whole workers that want one rack, where each rack has a
+// worker in use. A gang that is spread runs three times as long and holds its
+// workers for as long.
+func TestGangWaitsForRackOrSpreads(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		freeAt time.Duration // of the workers in use
+		onTime time.Duration // of the gang, which runs 2 s in one rack and 6 s spread
+		starts int
+	}{
+		{"a rack is free in time", 3 * second, 6500 * time.Millisecond, 0},
+		{"a rack is free too late, spread is on time", 8 * second, 6500 * time.Millisecond, 3},
+		{"late either way", 8 * second, 5 * second, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &Snapshot{Workers: workers(6), RemotePenalty: 3}
+			occupy(s, 0, "x", gpus(8), c.freeAt, nil)
+			occupy(s, 3, "y", gpus(8), c.freeAt, nil)
+			g := rackGang("a", 3, gpus(8))
+			g.OnTime, g.Late = c.onTime, 60*second
+			s.Groups = []Group{g}
+			if p := Decide(s); len(p.Starts) != c.starts {
+				t.Fatalf("starts %v, want %d; waits %v", p.Starts, c.starts, p.Waits)
+			}
+		})
+	}
+}
+
+// Guards against a gang that fits in no rack, and thus takes three times as much
+// room for the worth of a late answer, before work that can be on time.
+func TestGangWiderThanRacksComesLast(t *testing.T) {
+	s := &Snapshot{Workers: workers(6), RemotePenalty: 3}
+	wide := rackGang("a", 5, gpus(8))
+	wide.OnTime, wide.Late = 5*second, 20*second
+	small := group("b", 6, gpus(8))
+	small.Gang = true
+	s.Groups = []Group{wide, small}
+	p := Decide(s)
+	if len(placed(p, 1)) != 6 || len(placed(p, 0)) != 0 {
+		t.Fatalf("starts %v", p.Starts)
+	}
+	s.Groups = []Group{wide}
+	if p = Decide(s); len(placed(p, 0)) != 5 || p.Starts[0].Expected != 6*second {
+		t.Fatalf("alone: starts %v", p.Starts)
+	}
+}
+
+// The load: tasks with many cores and few GPUs beside tasks with few cores and
+// many GPUs. Two of the former on one worker leave GPUs that nothing can use.
+func TestPackingKeepsGPUsUsable(t *testing.T) {
+	cores := func(n, gpus int) workflow.Resources {
+		return workflow.Resources{CPUMilli: n * 1000, MemoryMB: 30000, GPUs: gpus}
+	}
+	t.Run("the last cores are not used while GPUs are left", func(t *testing.T) {
+		s := &Snapshot{Workers: workers(3), RemotePenalty: 3}
+		occupy(s, 0, "x", cores(34, 3), 9*second, nil)
+		occupy(s, 1, "y", cores(2, 2), 9*second, nil)
+		occupy(s, 2, "z", cores(8, 8), 9*second, nil)
+		s.Groups = []Group{group("a", 1, cores(26, 1))}
+		if got := placed(Decide(s), 0); len(got) != 1 || got[0] != "w01" {
+			t.Errorf("placed on %v", got)
+		}
+	})
+	t.Run("many cores go beside many GPUs", func(t *testing.T) {
+		s := &Snapshot{Workers: workers(3), RemotePenalty: 3}
+		occupy(s, 0, "x", cores(26, 1), 9*second, nil)
+		occupy(s, 1, "y", cores(26, 4), 9*second, nil)
+		s.Groups = []Group{group("a", 1, cores(26, 1))}
+		if got := placed(Decide(s), 0); len(got) != 1 || got[0] != "w01" {
+			t.Errorf("placed on %v", got)
+		}
+	})
+	t.Run("many GPUs go where cores are used up", func(t *testing.T) {
+		s := &Snapshot{Workers: workers(3), RemotePenalty: 3}
+		occupy(s, 0, "x", cores(26, 1), 9*second, nil)
+		occupy(s, 0, "x", cores(26, 1), 9*second, nil)
+		occupy(s, 1, "y", cores(8, 2), 9*second, nil)
+		s.Groups = []Group{group("a", 1, cores(8, 4))}
+		if got := placed(Decide(s), 0); len(got) != 1 || got[0] != "w00" {
+			t.Errorf("placed on %v", got)
+		}
+	})
+	t.Run("whole workers stay free", func(t *testing.T) {
+		s := &Snapshot{Workers: workers(3), RemotePenalty: 3}
+		occupy(s, 2, "x", cores(26, 2), 9*second, nil)
+		s.Groups = []Group{group("a", 1, cores(26, 1))}
+		if got := placed(Decide(s), 0); len(got) != 1 || got[0] != "w02" {
+			t.Errorf("placed on %v", got)
+		}
+	})
+}
--- a/internal/taskplan/place.go
+++ b/internal/taskplan/place.go
@@ -91,14 +91,14 @@
 // whole workers stay free for large tasks; -1 if none has room.
 func (p *planner) bestNode(g int, near bool) int {
 	group := &p.s.Groups[g]
-	best, bestKey := -1, [3]float64{}
+	best, bestKey := -1, [4]float64{}
 	for n := range p.nodes {
 		w := &p.nodes[n]
 		if near == remote(group, w.Rack) || p.room(g, n) < 1 {
 			continue
 		}
 		after := w.Free.Add(group.Need, -1)
-		key := [3]float64{w.Slowdown, float64(after.GPUs), float64(after.CPUMilli)}
+		key := [4]float64{w.Slowdown, p.packingCost(n, group.Need, 1), float64(after.GPUs), float64(after.CPUMilli)}
 		if best < 0 || slices.Compare(key[:], bestKey[:]) < 0 {
 			best, bestKey = n, key
 		}
@@ -203,15 +203,46 @@
 	return best
 }
 
-// spreadPays reports whether a gang that wants one rack should run on several:
-// no rack could ever hold it, or it is on time even so.
+// spreadPays reports whether a gang that wants one rack, or that of its data,
+// should run elsewhere now: that must be worth more than to wait for the rack,
+// since it holds its room for several times as long.
 func (p *planner) spreadPays(g, n int) bool {
 	group := &p.s.Groups[g]
-	if p.oneRack(g, n, p.capacity) == nil {
-		return true
-	}
 	extra := time.Duration(float64(group.Expected) * (p.s.RemotePenalty - 1))
-	return p.s.Now+group.Chain+extra <= group.OnTime || p.s.Now+group.Chain > group.OnTime+extra
+	return group.At(p.s.Now+group.Chain+extra) > group.At(p.rackFree(g, n)+group.Chain)
+}
+
+// rackFree returns the time at which n tasks of a group fit in one rack, that of
+// its data if it has some, if runs end as expected.
+func (p *planner) rackFree(g, n int) time.Duration {
+	group := &p.s.Groups[g]
+	times := p.endTimes()
+	first := sort.Search(len(times), func(i int) bool {
+		room := func(g, node int) int { return p.roomAt(g, node, times[i]) }
+		if group.DataRack != "" {
+			return p.fill(g, n, room, func(rack string) bool { return rack == group.DataRack }) != nil
+		}
+		return p.oneRack(g, n, room) != nil
+	})
+	if first == len(times) {
+		return never
+	}
+	return times[first]
+}
+
+// never is later than any time of a day, with room for sums.
+const never = math.MaxInt64 / 4
+
+// endTimes lists the times at which runs are expected to end, ascending.
+func (p *planner) endTimes() []time.Duration {
+	var times []time.Duration
+	for i := range p.s.Running {
+		if t := p.endOf(&p.s.Running[i]); t < never {
+			times = append(times, t)
+		}
+	}
+	slices.Sort(times)
+	return slices.Compact(times)
 }
 
 // capacity returns how many tasks of the group an empty node holds.
@@ -249,6 +280,7 @@
 		wa, wb := &p.nodes[a.node], &p.nodes[b.node]
 		left := func(w *node, c int) int { return w.Free.Add(group.Need, -min(c, n)).GPUs }
 		return cmp.Or(cmp.Compare(wa.Slowdown, wb.Slowdown),
+			cmp.Compare(p.packingCost(a.node, group.Need, min(a.count, n)), p.packingCost(b.node, group.Need, min(b.count, n))),
 			cmp.Compare(left(wa, a.count), left(wb, b.count)), cmp.Compare(b.count, a.count),
 			cmp.Compare(wa.Free.CPUMilli, wb.Free.CPUMilli), cmp.Compare(wa.ID, wb.ID))
 	})
@@ -317,14 +349,7 @@
 }
 
 func (p *planner) earliestSpots(g, n int) (time.Duration, []spot) {
-	var times []time.Duration
-	for i := range p.s.Running {
-		if t := p.endOf(&p.s.Running[i]); t < math.MaxInt64 {
-			times = append(times, t)
-		}
-	}
-	slices.Sort(times)
-	times = slices.Compact(times)
+	times := p.endTimes()
 	spotsAt := func(i int) []spot {
 		spots, _ := p.gangSpots(g, n, func(g, node int) int { return p.roomAt(g, node, times[i]) })
 		return spots
--- a/internal/taskplan/taskplan.go
+++ b/internal/taskplan/taskplan.go
@@ -201,6 +201,8 @@
 	held    []reservation
 	endings [][]int // running by node, ascending by end
 	stopped map[workflow.RunID]bool
+	// perGPU is the cores (thousandths) and memory (MiB) that tasks want for each GPU.
+	perGPU [2]float64
 }
 
 // Decide returns the plan for the snapshot.
@@ -223,8 +225,10 @@
 			p.endings[n] = append(p.endings[n], i)
 		}
 	}
+	p.measureDemand()
 	for g := range s.Groups {
 		p.relax(&s.Groups[g])
+		p.widen(g)
 	}
 	p.evacuate()
 	p.rank()
@@ -287,6 +291,19 @@
 	}
 }
 
+// widen takes a gang that wants one rack and fits in none for what it is: work
+// that runs for several times as long, and anywhere.
+func (p *planner) widen(g int) {
+	group := &p.s.Groups[g]
+	if !group.Gang || !group.SameRack || p.oneRack(g, len(group.Tasks), p.capacity) != nil {
+		return
+	}
+	extra := time.Duration(float64(group.Expected) * (p.s.RemotePenalty - 1))
+	group.SameRack = false
+	group.Area += group.Area * float64(extra) / float64(max(group.Chain, 1))
+	group.Expected, group.Chain = group.Expected+extra, group.Chain+extra
+}
+
 // eligible reports whether the worker may run the group's tasks at all.
 func (n *node) eligible(g *Group) bool {
 	return n.Usable && n.Pool == g.Pool && !g.Avoid[n.ID] && (g.Allowed == nil || g.Allowed[n.ID]) && (g.Label == "" || slices.Contains(n.Labels, g.Label)) && n.Capacity.Fits(g.Need)
