--- a/internal/taskbench/sim.go
+++ b/internal/taskbench/sim.go
@@ -42,15 +42,13 @@
 
 type simJob struct {
 	*arrival
-	id      string
-	done    int
-	gangEnd bool
-	runs    map[int]*simRun
-	ended   map[int]bool
-	saved   map[int]time.Duration // work that a checkpoint holds
-	tries   map[int]int
-	worth   float64 // by size
-	over    bool
+	id    string
+	runs  map[int]*simRun
+	ended map[int]bool
+	saved map[int]time.Duration // work that a checkpoint holds
+	tries map[int]int
+	worth float64 // by size
+	over  bool
 }
 
 type simRun struct {
--- a/internal/taskplan/gang_test.go
+++ b/internal/taskplan/gang_test.go
@@ -27,13 +27,18 @@
 		{"a rack is free in time", 3 * second, 6500 * time.Millisecond, 0},
 		{"a rack is free too late, spread is on time", 8 * second, 6500 * time.Millisecond, 3},
 		{"late either way", 8 * second, 5 * second, 0},
+		{"worth nothing any more, and the rack never free", never, -20 * second, 3},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := &Snapshot{Workers: workers(6), RemotePenalty: 3}
-			occupy(s, 0, "x", gpus(8), c.freeAt, nil)
-			occupy(s, 3, "y", gpus(8), c.freeAt, nil)
+			for _, w := range []int{0, 3} {
+				occupy(s, w, "x", gpus(8), c.freeAt, func(r *Running) { r.Persistent = c.freeAt == never })
+			}
+			for _, w := range []int{1, 2, 4, 5} { // most cores are in use
+				occupy(s, w, "y", workflow.Resources{CPUMilli: 59000}, 40*second, nil)
+			}
 			g := rackGang("a", 3, gpus(8))
-			g.OnTime, g.Late = c.onTime, 60*second
+			g.OnTime, g.Late = c.onTime, c.onTime+min(3*max(c.onTime, 0), 50*second)
 			s.Groups = []Group{g}
 			if p := Decide(s); len(p.Starts) != c.starts {
 				t.Fatalf("starts %v, want %d; waits %v", p.Starts, c.starts, p.Waits)
@@ -105,3 +110,18 @@
 		}
 	})
 }
+
+// Guards against a late gang that waits for a rack while most workers are idle:
+// users ask for each accepted job at the end of the day.
+func TestLateGangSpreadsOverIdleWorkers(t *testing.T) {
+	s := &Snapshot{Workers: workers(9), RemotePenalty: 3}
+	for _, w := range []int{0, 3, 6} {
+		occupy(s, w, "x", gpus(8), 30*second, nil)
+	}
+	g := rackGang("a", 3, gpus(8))
+	g.OnTime, g.Late = second, 60*second
+	s.Groups = []Group{g}
+	if p := Decide(s); len(p.Starts) != 3 {
+		t.Fatalf("starts %v, waits %v", p.Starts, p.Waits)
+	}
+}
--- a/internal/taskplan/place.go
+++ b/internal/taskplan/place.go
@@ -204,12 +204,27 @@
 }
 
 // spreadPays reports whether a gang that wants one rack, or that of its data,
-// should run elsewhere now: that must be worth more than to wait for the rack,
-// since it holds its room for several times as long.
+// should run elsewhere now. That must be worth more than to wait for the rack,
+// since it holds its room for several times as long, unless most room is idle and
+// the gang ends sooner: then it takes nothing from others, and a rack that never
+// comes free does not keep it waiting.
 func (p *planner) spreadPays(g, n int) bool {
 	group := &p.s.Groups[g]
 	extra := time.Duration(float64(group.Expected) * (p.s.RemotePenalty - 1))
-	return group.At(p.s.Now+group.Chain+extra) > group.At(p.rackFree(g, n)+group.Chain)
+	spread, waiting := p.s.Now+group.Chain+extra, p.rackFree(g, n)+group.Chain
+	if a, b := group.At(spread), group.At(waiting); a != b {
+		return a > b
+	}
+	return spread < waiting && (p.mostlyIdle() || waiting >= never)
+}
+
+// mostlyIdle reports whether under half of the workers' capacity is in use.
+func (p *planner) mostlyIdle() bool {
+	var free workflow.Resources
+	for i := range p.nodes {
+		free = free.Add(p.nodes[i].Free, 1)
+	}
+	return free.Add(free, 1).Fits(p.total)
 }
 
 // rackFree returns the time at which n tasks of a group fit in one rack, that of
