--- a/internal/taskagent/worker.go
+++ b/internal/taskagent/worker.go
@@ -23,7 +23,6 @@
 	ReasonOld       = "old"       // the run or a later one has ended there
 	ReasonLate      = "late"      // the deadline has passed on the worker's clock
 	ReasonRoom      = "room"      // not enough capacity
-	ReasonTicket    = "ticket"    // the placement advice's ticket is missing or no longer valid
 	ReasonUnhealthy = "unhealthy" // the worker takes nothing at present
 	ReasonInvalid   = "invalid"   // the worker does not understand the order
 	ReasonDraining  = "draining"  // the worker is leaving
--- a/internal/taskowner/advice_test.go
+++ b/internal/taskowner/advice_test.go
@@ -86,7 +86,7 @@
 			t.Fatalf("started on %q: %+v", worker, starts)
 		}
 		// The worker says that the ticket is not valid: another one is asked for.
-		reject := taskrpc.Run{ID: starts[0].ID, State: taskrpc.RunRejected, Reason: taskagent.ReasonTicket}
+		reject := taskrpc.Run{ID: starts[0].ID, State: taskrpc.RunRejected, Reason: taskrpc.ReasonTicket}
 		r.report("w2", "10.0.0.2:80", 1, func(s *taskrpc.SyncArgs) { s.Runs = []taskrpc.Run{reject} })
 		worker, again := r.startOn(5*time.Second, "w1", "w2", "w3")
 		if worker != "w2" || len(again) != 1 || again[0].Ticket == starts[0].Ticket {
--- a/internal/taskowner/worker.go
+++ b/internal/taskowner/worker.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/parsleypier/parsleypier/internal/structs"
-	"github.com/parsleypier/parsleypier/internal/taskagent"
 	"github.com/parsleypier/parsleypier/internal/taskrpc"
 	"github.com/parsleypier/parsleypier/internal/telemetry"
 	"github.com/parsleypier/parsleypier/internal/verdict"
@@ -454,7 +453,7 @@
 	rejects.Add(reason, 1)
 	part := partOf(r.id.Task)
 	r.job.rejected[part] = r.job.rejected[part].next(o.now())
-	if reason == taskagent.ReasonTicket {
+	if reason == taskrpc.ReasonTicket {
 		r.job.dropTicket(part, w)
 	}
 	o.endRun(r, workflow.EndLost, "rejected: "+reason)
--- a/internal/taskplan/gang_test.go
+++ b/internal/taskplan/gang_test.go
@@ -72,43 +72,32 @@
 	cores := func(n, gpus int) workflow.Resources {
 		return workflow.Resources{CPUMilli: n * 1000, MemoryMB: 30000, GPUs: gpus}
 	}
-	t.Run("the last cores are not used while GPUs are left", func(t *testing.T) {
-		s := &Snapshot{Workers: workers(3), RemotePenalty: 3}
-		occupy(s, 0, "x", cores(34, 3), 9*second, nil)
-		occupy(s, 1, "y", cores(2, 2), 9*second, nil)
-		occupy(s, 2, "z", cores(8, 8), 9*second, nil)
-		s.Groups = []Group{group("a", 1, cores(26, 1))}
-		if got := placed(Decide(s), 0); len(got) != 1 || got[0] != "w01" {
-			t.Errorf("placed on %v", got)
-		}
-	})
-	t.Run("many cores go beside many GPUs", func(t *testing.T) {
-		s := &Snapshot{Workers: workers(3), RemotePenalty: 3}
-		occupy(s, 0, "x", cores(26, 1), 9*second, nil)
-		occupy(s, 1, "y", cores(26, 4), 9*second, nil)
-		s.Groups = []Group{group("a", 1, cores(26, 1))}
-		if got := placed(Decide(s), 0); len(got) != 1 || got[0] != "w01" {
-			t.Errorf("placed on %v", got)
-		}
-	})
-	t.Run("many GPUs go where cores are used up", func(t *testing.T) {
-		s := &Snapshot{Workers: workers(3), RemotePenalty: 3}
-		occupy(s, 0, "x", cores(26, 1), 9*second, nil)
-		occupy(s, 0, "x", cores(26, 1), 9*second, nil)
-		occupy(s, 1, "y", cores(8, 2), 9*second, nil)
-		s.Groups = []Group{group("a", 1, cores(8, 4))}
-		if got := placed(Decide(s), 0); len(got) != 1 || got[0] != "w00" {
-			t.Errorf("placed on %v", got)
-		}
-	})
-	t.Run("whole workers stay free", func(t *testing.T) {
-		s := &Snapshot{Workers: workers(3), RemotePenalty: 3}
-		occupy(s, 2, "x", cores(26, 2), 9*second, nil)
-		s.Groups = []Group{group("a", 1, cores(26, 1))}
-		if got := placed(Decide(s), 0); len(got) != 1 || got[0] != "w02" {
-			t.Errorf("placed on %v", got)
-		}
-	})
+	type use struct {
+		worker int
+		need   workflow.Resources
+	}
+	for _, c := range []struct {
+		name string
+		used []use
+		task workflow.Resources
+		want string
+	}{
+		{"the last cores are not used while GPUs are left", []use{{0, cores(34, 3)}, {1, cores(2, 2)}, {2, cores(8, 8)}}, cores(26, 1), "w01"},
+		{"many cores go beside many GPUs", []use{{0, cores(26, 1)}, {1, cores(26, 4)}}, cores(26, 1), "w01"},
+		{"many GPUs go where cores are used up", []use{{0, cores(26, 1)}, {0, cores(26, 1)}, {1, cores(8, 2)}}, cores(8, 4), "w00"},
+		{"whole workers stay free", []use{{2, cores(26, 2)}}, cores(26, 1), "w02"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &Snapshot{Workers: workers(3), RemotePenalty: 3}
+			for _, u := range c.used {
+				occupy(s, u.worker, "x", u.need, 9*second, nil)
+			}
+			s.Groups = []Group{group("a", 1, c.task)}
+			if got := placed(Decide(s), 0); len(got) != 1 || got[0] != c.want {
+				t.Errorf("placed on %v, want %s", got, c.want)
+			}
+		})
+	}
 }
 
 // Guards against a late gang that waits for a rack while most workers are idle:
--- a/internal/taskrpc/taskrpc.go
+++ b/internal/taskrpc/taskrpc.go
@@ -54,6 +54,10 @@
 	RunStopping RunState = "stopping"
 )
 
+// ReasonTicket is the reason of a run that was rejected because its ticket of the
+// placement advice is missing or no longer valid.
+const ReasonTicket = "ticket"
+
 // Run is a run at an agent.
 type Run struct {
 	ID    workflow.RunID
