--- /dev/null
+++ b/internal/taskdaemon/sim_net_test.go
@@ -0,0 +1,126 @@
+package taskdaemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"reflect"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/parsleypier/parsleypier/internal/rowstore"
+	"github.com/parsleypier/parsleypier/internal/rpc"
+	"github.com/parsleypier/parsleypier/internal/verdict"
+)
+
+// simNet carries calls between the processes of a simulation.
+type simNet struct {
+	mu       sync.Mutex
+	services map[string]map[string]any // by address and service
+	cut      map[string]bool           // addresses that reach nobody
+}
+
+// simCaller is one process's view of the network.
+type simCaller struct {
+	net  *simNet
+	addr string
+}
+
+const simDelay = time.Millisecond
+
+func (c simCaller) Call(ctx context.Context, addr, method string, args rpc.Headed, reply rpc.Failer) error {
+	service, name, _ := strings.Cut(method, ".")
+	c.net.mu.Lock()
+	target, cut := c.net.services[addr], c.net.cut[addr] || c.net.cut[c.addr]
+	c.net.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "cut off")
+	}
+	time.Sleep(simDelay)
+	if target == nil {
+		return verdict.Refuse(verdict.CodeUnavailable, "no process at %s", addr)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		args.SetHeader(rpc.Header{Budget: time.Until(deadline), From: c.addr})
+	}
+	m := reflect.ValueOf(target[service]).MethodByName(name)
+	in, out := reflect.New(m.Type().In(0).Elem()), reflect.New(m.Type().In(1).Elem())
+	copyGob(args, in.Interface())
+	done := make(chan struct{})
+	go func() {
+		m.Call([]reflect.Value{in, out})
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "%s: %v", method, ctx.Err())
+	}
+	c.net.mu.Lock()
+	cut = c.net.cut[addr] || c.net.cut[c.addr]
+	c.net.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "cut off")
+	}
+	time.Sleep(simDelay)
+	copyGob(out.Interface(), reply)
+	if e := reply.Failure(); e != nil {
+		return e
+	}
+	return nil
+}
+
+func copyGob(from, to any) {
+	var buf bytes.Buffer
+	if err := gob.NewEncoder(&buf).Encode(from); err != nil {
+		panic(err)
+	}
+	if err := gob.NewDecoder(&buf).Decode(to); err != nil {
+		panic(err)
+	}
+}
+
+// cutStore is the table as a process that may be cut off sees it.
+type cutStore struct {
+	rowstore.Store
+	net *simNet
+	id  string
+}
+
+func (c cutStore) cut(ctx context.Context) error {
+	c.net.mu.Lock()
+	cut := c.net.cut[c.id]
+	c.net.mu.Unlock()
+	if !cut {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Second):
+	}
+	return rowstore.Unavailable(verdict.MayHaveRun, "cut off")
+}
+
+func (c cutStore) Commit(ctx context.Context, txn rowstore.Txn) (uint64, error) {
+	if err := c.cut(ctx); err != nil {
+		return 0, err
+	}
+	return c.Store.Commit(ctx, txn)
+}
+
+func (c cutStore) Feed(ctx context.Context, table string, after uint64, wait time.Duration) (rowstore.Page, error) {
+	if err := c.cut(ctx); err != nil {
+		return rowstore.Page{}, err
+	}
+	return c.Store.Feed(ctx, table, after, wait)
+}
+
+func (c cutStore) Get(ctx context.Context, table, key string) (rowstore.Row, bool, error) {
+	if err := c.cut(ctx); err != nil {
+		return rowstore.Row{}, false, err
+	}
+	return c.Store.Get(ctx, table, key)
+}
