Let a restarted worker wait for the row that names its new life

Cause: an owner ordered tasks on a worker that had started anew under its ID, while the worker's row still named the earlier life.

Ruled out: the worker's fence and the agent's leases, both in order in the log. Weighed: leaving the worker expected until its new life reports. That does not cover a late word that the earlier life is gone, and makes owners wait for workers that have left.

Change: a worker receives starts only once its stored row names its life. It costs a write at each restart, and a worker that restarts while the store is away stays unused until the store is back.

The new test of the owner fails before.

--- a/internal/taskowner/owner.go
+++ b/internal/taskowner/owner.go
@@ -327,7 +327,7 @@
 		o.workers[id] = w
 	}
 	if r.Version > w.rowVersion {
-		w.row, w.rowVersion = true, r.Version
+		w.row, w.rowVersion, w.rowIncarnation = true, r.Version, row.Incarnation
 	}
 }
 
--- a/internal/taskowner/owner_test.go
+++ b/internal/taskowner/owner_test.go
@@ -90,12 +90,18 @@
 }
 
 func (r *rig) accept(id string, steps ...workflow.Step) {
+	row := r.record(id, steps...)
+	r.table.Put(row.Table, row.Key, row.Value)
+}
+
+// record returns the row of a job, newer than the takeover.
+func (r *rig) record(id string, steps ...workflow.Step) rowstore.Row {
 	rec := workflow.Record{ID: id, Queue: "q", Account: "a", Spec: workflow.Spec{Steps: steps}, Terms: workflow.Terms{MaxAttempts: 2, Stretch: 3}}
 	value, err := json.Marshal(rec)
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	r.table.Put(testTable, workflow.RecordPrefix+id, value)
+	return rowstore.Row{Table: testTable, Key: workflow.RecordPrefix + id, Value: value, Version: 1 << 40}
 }
 
 func (r *rig) member(id, listens string, incarnation int64) {
@@ -405,3 +411,29 @@
 		}
 	})
 }
+
+// Guards against a second run of a task after two changes of owner: a worker that
+// starts anew under its ID receives work only once its row names that life.
+// Otherwise the next owner takes a report of the new life as proof that nothing
+// runs there (TestSimulatedDays, seed 10).
+func TestRestartedWorkerWaitsForItsRow(t *testing.T) {
+	play(t, func(r *rig) {}, func(r *rig) {
+		r.report("w", "a", 1, nil)
+		time.Sleep(500 * time.Millisecond)
+		r.table.SetFaults(rows.Faults{Down: true})
+		r.report("w", "a", 2, nil)
+		r.owner.Observe([]rowstore.Row{r.record(testJob, step(1))})
+		if got := r.starts("w", "a", 2, 3*time.Second); len(got) > 0 {
+			t.Fatalf("starts %v on a life that no row names", got)
+		}
+		r.table.SetFaults(rows.Faults{})
+		if got := r.starts("w", "a", 2, 2*time.Second); len(got) != 1 {
+			t.Fatalf("starts %v once the store is back, want the job's task", got)
+		}
+		row, ok, err := r.table.For("test").Get(t.Context(), testTable, workflow.WorkerPrefix+"w")
+		var value workerRow
+		if err != nil || !ok || json.Unmarshal(row.Value, &value) != nil || value.Incarnation != 2 {
+			t.Fatalf("the worker's row is %s (%v), want that of incarnation 2", row.Value, err)
+		}
+	})
+}
--- a/internal/taskowner/persist.go
+++ b/internal/taskowner/persist.go
@@ -52,6 +52,13 @@
 	state workflow.State
 }
 
+// writtenWorker is a worker's row in a transaction.
+type writtenWorker struct {
+	worker      *worker
+	member      bool // false for a row that is removed
+	incarnation int64
+}
+
 // write writes one batch and reports whether there may be more to write.
 func (o *Owner) write() (bool, error) {
 	o.mu.Lock()
@@ -64,10 +71,6 @@
 		txn.Checks = append(txn.Checks, o.fence())
 	}
 	clock := o.o.Clock()
-	members := map[*worker]bool{} // whether the transaction makes it a member
-	for _, w := range workers {
-		members[w] = !w.row
-	}
 	o.mu.Unlock()
 	if len(txn.Checks) == 0 {
 		return false, nil
@@ -97,9 +100,10 @@
 			wr.job.prog.State = wr.state // a cancellation that came meanwhile is too late
 		}
 	}
-	for _, w := range workers {
-		w.row, w.rowVersion = members[w], version
-		o.o.Log.Event("worker_row_written", "worker", w.id, "member", w.row, "version", version)
+	for _, wr := range workers {
+		w := wr.worker
+		w.row, w.rowVersion, w.rowIncarnation = wr.member, version, wr.incarnation
+		o.o.Log.Event("worker_row_written", "worker", w.id, "member", w.row, "incarnation", w.rowIncarnation, "version", version)
 		if !w.row && w.lost {
 			delete(o.workers, w.id)
 		}
@@ -121,12 +125,12 @@
 }
 
 // batch returns the next transaction, with what it writes.
-func (o *Owner) batch() (rowstore.Txn, []written, []*worker) {
+func (o *Owner) batch() (rowstore.Txn, []written, []writtenWorker) {
 	var txn rowstore.Txn
 	var jobs []written
-	var workers []*worker
+	var workers []writtenWorker
 	for _, w := range o.workers {
-		if len(workers) >= writeJobs || w.row == !w.lost {
+		if len(workers) >= writeJobs || !w.rowOutdated() {
 			continue
 		}
 		key := workflow.WorkerPrefix + w.id
@@ -135,12 +139,12 @@
 			version = 0
 		}
 		txn.Checks = append(txn.Checks, rowstore.Check{Table: o.o.Table, Key: key, Version: version})
-		if w.row {
+		if w.lost {
 			txn.Deletes = append(txn.Deletes, rowstore.Ref{Table: o.o.Table, Key: key})
 		} else if value, err := json.Marshal(workerRow{w.addr, w.info.Addr, w.incarnation}); err == nil {
 			txn.Puts = append(txn.Puts, rowstore.Put{Table: o.o.Table, Key: key, Value: value})
 		}
-		workers = append(workers, w)
+		workers = append(workers, writtenWorker{w, !w.lost, w.incarnation})
 	}
 	size := 0
 	for _, j := range o.jobs {
@@ -204,7 +208,11 @@
 			}
 		case workflow.WorkerPrefix:
 			if w := o.workers[name]; w != nil {
-				w.row, w.rowVersion = exists, r.Version
+				w.row, w.rowVersion, w.rowIncarnation = exists, r.Version, 0
+				var row workerRow
+				if exists && json.Unmarshal(r.Value, &row) == nil {
+					w.rowIncarnation = row.Incarnation // an unreadable row names no life and is written anew
+				}
 			}
 		}
 	}
--- a/internal/taskowner/worker.go
+++ b/internal/taskowner/worker.go
@@ -21,9 +21,11 @@
 	incarnation     int64
 	fence           uint64
 
-	// row says that the worker's row is stored, rowVersion is its version.
-	row        bool
-	rowVersion uint64
+	// row says that the worker's row is stored, rowVersion is its version and
+	// rowIncarnation the life that it names.
+	row            bool
+	rowVersion     uint64
+	rowIncarnation int64
 	// expected says that the worker has a row of an earlier owner and has not
 	// reported in this epoch.
 	expected bool
@@ -64,6 +66,19 @@
 	}
 }
 
+// member reports whether the stored row names this life of the worker. Only then
+// may it receive starts: a later owner takes it from the row which life may run
+// something that it has not ordered.
+func (w *worker) member() bool { return w.row && w.rowIncarnation == w.incarnation }
+
+// rowOutdated reports whether the stored row has to be written or removed.
+func (w *worker) rowOutdated() bool {
+	if w.lost {
+		return w.row
+	}
+	return !w.member()
+}
+
 // wake ends the wait of the agent's call.
 func (w *worker) wake() {
 	select {
@@ -122,7 +137,7 @@
 
 // usable reports whether the worker may receive starts.
 func (o *Owner) usable(w *worker) bool {
-	if !w.reported || w.fence != o.o.Epoch || !w.row || w.info.Draining || w.info.Gone || w.lost || w.info.Silent > 0 {
+	if !w.reported || w.fence != o.o.Epoch || !w.member() || w.info.Draining || w.info.Gone || w.lost || w.info.Silent > 0 {
 		return false
 	}
 	return time.Since(w.lastCall) < freshContact && o.now() >= w.suspicion.until && o.health.State(o.now(), w.id) != structs.WorkerQuarantined
@@ -321,6 +336,7 @@
 		o.o.Log.Event("worker_restarted", "worker", w.id, "incarnation", args.Worker.Incarnation, "before", w.incarnation, "runs", len(w.runs))
 		o.loseRuns(w, "worker started anew")
 		w.incarnation, w.reported, w.endsSeen, w.noted, w.seq, w.suspicion = args.Worker.Incarnation, false, 0, 0, 0, suspicion{}
+		signal(o.dirty)
 	}
 	if w.from == args.Agent && args.Seq <= w.seq {
 		return w, false
