--- a/internal/rowstore/mirror.go
+++ b/internal/rowstore/mirror.go
@@ -1,8 +1,10 @@
 package rowstore
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -205,6 +207,33 @@
 	}
 }
 
+// After returns the rows that are newer than a version, oldest first and limit at
+// most, and whether there are more. Rows that were removed are not among them.
+func (m *Mirror) After(version uint64, limit int) (newer []Row, more bool) {
+	m.mu.Lock()
+	for _, r := range m.rows {
+		if r.Version > version {
+			newer = append(newer, r)
+		}
+	}
+	m.mu.Unlock()
+	slices.SortFunc(newer, func(a, b Row) int { return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Key, b.Key)) })
+	for limit < len(newer) && limit > 0 && newer[limit].Version == newer[limit-1].Version {
+		limit++ // rows of one transaction have one version
+	}
+	if len(newer) > limit {
+		return newer[:limit], true
+	}
+	return newer, false
+}
+
+// Version returns the version up to which the mirror knows all changes.
+func (m *Mirror) Version() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.version
+}
+
 // Age returns how old the mirror's knowledge is; false if it has none yet.
 func (m *Mirror) Age() (time.Duration, bool) {
 	m.mu.Lock()
--- a/internal/taskdaemon/entry.go
+++ b/internal/taskdaemon/entry.go
@@ -87,12 +87,15 @@
 	seeds []string
 	// answered is when each other entry last answered, for the owner.
 	answered map[string]time.Time
-	leaving  bool
+	// partly is the version up to which another entry's rows were taken over, by
+	// address, while more of them are to come.
+	partly  map[string]uint64
+	leaving bool
 }
 
 // NewEntry returns an entry that does nothing until Run.
 func NewEntry(o EntryOptions) *Entry {
-	e := &Entry{o: o, Config: &gateway.Holder{Log: o.Log}, seeds: o.Seeds, answered: map[string]time.Time{}}
+	e := &Entry{o: o, Config: &gateway.Holder{Log: o.Log}, seeds: o.Seeds, answered: map[string]time.Time{}, partly: map[string]uint64{}}
 	e.failover = &rowstore.Failover{Direct: o.Exchange, Peers: e.exchanges, Log: o.Log}
 	e.store = o.OpenStore(e.failover.Do)
 	e.rows = rowstore.NewMirror(e.store, Table, o.Log, e.observe)
--- a/internal/taskdaemon/peer.go
+++ b/internal/taskdaemon/peer.go
@@ -29,26 +29,63 @@
 	}
 }
 
-// confirm asks all other entries not to take over.
+// confirmRows bounds the rows of a reply to a confirmation. An owner that lost the
+// store before the others did lacks the changes of about 2 s.
+const confirmRows = 200
+
+// confirm asks all other entries not to take over. The store may have turned this
+// entry away before it turned the others away: what they have seen, and may have
+// confirmed to clients, is taken over first.
 func (e *Entry) confirm(ctx context.Context, epoch uint64) bool {
 	var wg sync.WaitGroup
 	var refused atomic.Bool
 	for _, addr := range e.peers() {
 		wg.Go(func() {
 			reply := &taskrpc.ConfirmReply{}
-			err := e.o.Caller.Call(ctx, addr, taskrpc.MethodConfirm, &taskrpc.ConfirmArgs{Epoch: epoch}, reply)
-			if err != nil || !reply.Promised {
+			args := &taskrpc.ConfirmArgs{Epoch: epoch, After: e.knownOf(addr)}
+			err := e.o.Caller.Call(ctx, addr, taskrpc.MethodConfirm, args, reply)
+			if err != nil || !reply.Promised || reply.More {
 				refused.Store(true)
 			}
 			if reply.Epoch > epoch {
 				e.elector.NoticeEpoch(reply.Epoch)
 			}
+			e.takeOver(addr, reply.Rows, reply.More)
 		})
 	}
 	wg.Wait()
 	return !refused.Load()
 }
 
+// knownOf returns the version after which a peer is to send its rows.
+func (e *Entry) knownOf(peer string) uint64 {
+	version := e.rows.Version()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(version, e.partly[peer])
+}
+
+// takeOver adds rows that a peer has sent, oldest first.
+func (e *Entry) takeOver(peer string, rows []rowstore.Row, more bool) {
+	if len(rows) == 0 {
+		return
+	}
+	for _, r := range rows {
+		e.rows.Note(r)
+	}
+	last := rows[len(rows)-1].Version
+	e.o.Log.Event("rows_taken_from_peer", "peer", peer, "rows", len(rows), "version", last, "more", more)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if more {
+		e.partly[peer] = last
+	} else {
+		// A write of the peer's with an earlier version may still be answered: the
+		// next reply has all its rows again.
+		delete(e.partly, peer)
+	}
+}
+
 // seekConfig asks other entries for the configuration while this one has none
 // and the store does not give it.
 func (e *Entry) seekConfig(ctx context.Context) {
@@ -88,6 +125,9 @@
 // Confirm promises not to take over for a while.
 func (s *peerService) Confirm(args *taskrpc.ConfirmArgs, reply *taskrpc.ConfirmReply) error {
 	reply.Promised = s.e.elector.Promise(args.Epoch)
+	if reply.Promised {
+		reply.Rows, reply.More = s.e.rows.After(args.After, confirmRows)
+	}
 	if holder, ok := s.e.elector.Owner(); ok {
 		reply.Epoch = holder.Epoch
 	}
--- /dev/null
+++ b/internal/taskdaemon/sim_cases_test.go
@@ -0,0 +1,118 @@
+package taskdaemon
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/parsleypier/parsleypier/internal/standin/rows"
+	"github.com/parsleypier/parsleypier/internal/workflow"
+)
+
+// scene plays a deployment without random faults.
+func scene(t *testing.T, f func(s *sim)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newSim(ctx, t, 1)
+		time.Sleep(3 * time.Second)
+		f(s)
+		cancel()
+		s.stop()
+		s.log.Close()
+		for _, b := range s.history.broken {
+			t.Error(b)
+		}
+	})
+}
+
+// submit hands a job in at an entry and fails the test if it is not accepted.
+func (s *sim) submit(at *simEntry, id string, spec workflow.Spec) {
+	s.t.Helper()
+	s.history.mu.Lock()
+	s.history.specs[id] = spec
+	s.history.mu.Unlock()
+	if err := at.Gateway.Submit(s.ctx, simQueue("batch"), "a", id, spec); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// Guards against work of a job whose cancellation another entry has confirmed: the
+// owner was out of touch, then the store was away for all, and the others
+// confirmed the owner without telling it what they knew (UNASKED, seed 18).
+func TestConfirmedOwnerKnowsWhatItsPeersKnow(t *testing.T) {
+	scene(t, func(s *sim) {
+		const id = "5c0e7a21d94b36f8"
+		need := workflow.Resources{CPUMilli: 1000, MemoryMB: 100, GPUs: 1}
+		owner := s.owner()
+		other := s.entries["entry0"]
+		if owner == "entry0" {
+			other = s.entries["entry1"]
+		}
+		s.submit(other, id, workflow.Spec{Payload: "x", Steps: []workflow.Step{
+			{Tasks: 1, Need: need, Estimate: 8000}, {Tasks: 1, Need: need, Estimate: 1000, After: []int{0}},
+		}})
+		time.Sleep(500 * time.Millisecond)
+		s.setCut(owner, true)
+		time.Sleep(time.Second) // an open call of the feed is still answered
+		if known, err := other.Gateway.Cancel(s.ctx, simQueue("batch"), id); err != nil || !known {
+			t.Fatalf("the cancellation was not confirmed: %v", err)
+		}
+		s.history.mu.Lock()
+		s.history.cancelled[id] = time.Now()
+		s.history.mu.Unlock()
+		s.table.SetFaults(rows.Faults{Down: true})
+		time.Sleep(300 * time.Millisecond)
+		s.setCut(owner, false)
+		time.Sleep(14 * time.Second)
+		if got := s.owner(); got != owner {
+			t.Errorf("the owner is %q, want %q: its peers have to confirm it", got, owner)
+		}
+		s.table.SetFaults(rows.Faults{})
+		time.Sleep(3 * time.Second)
+	})
+}
+
+// Guards against a second agent beside a worker when the repairs of two faults
+// overlap: the first one's sessions outlived the simulation (seed 24).
+func TestOneAgentBesideAWorker(t *testing.T) {
+	scene(t, func(s *sim) {
+		s.killAgent("w0")
+		s.killAgent("w0")
+		s.startAgent("w0")
+		first := s.agents["w0"]
+		s.startAgent("w0")
+		if s.agents["w0"] != first {
+			t.Error("a second agent was started beside the first")
+		}
+	})
+}
+
+// Guards against a count of a gang's failures by member: a gang fails as one, and
+// its job has failed once the gang has failed as often as the queue allows
+// (seed 18).
+func TestGangFailsAsOne(t *testing.T) {
+	h := newHistory()
+	const id = "5c0e7a21d94b36f8"
+	h.specs[id] = workflow.Spec{Steps: []workflow.Step{{Tasks: 3, Gang: true}, {Tasks: 3}}}
+	for attempt := 1; attempt <= simMaxAttempts; attempt++ {
+		for step := range 2 {
+			r := &simRun{id: workflow.RunID{Task: workflow.TaskID{Job: id, Step: step, Index: attempt - 1}, Attempt: attempt}, w: &simWorker{id: "w"}}
+			h.started(r)
+			h.ended(r, workflow.EndFailed)
+		}
+	}
+	if len(h.broken) > 0 {
+		t.Fatalf("broken before all attempts were used: %v", h.broken)
+	}
+	h.started(&simRun{id: workflow.RunID{Task: workflow.TaskID{Job: id, Step: 1, Index: 1}, Attempt: 4}, w: &simWorker{id: "w"}})
+	if len(h.broken) > 0 {
+		t.Fatalf("a task that failed once may start: %v", h.broken)
+	}
+	h.started(&simRun{id: workflow.RunID{Task: workflow.TaskID{Job: id, Index: 1}, Attempt: 4}, w: &simWorker{id: "w"}})
+	if !slices.ContainsFunc(h.broken, func(b string) bool { return len(b) > 0 }) {
+		t.Fatal("a gang that has failed three times was started again, and nobody noticed")
+	}
+}
--- a/internal/taskrpc/taskrpc.go
+++ b/internal/taskrpc/taskrpc.go
@@ -141,6 +141,9 @@
 type ConfirmArgs struct {
 	rpc.Header
 	Epoch uint64
+	// After is the version of the store up to which the owner knows all that the
+	// entry knows.
+	After uint64
 }
 
 // ConfirmReply says whether it promised.
@@ -148,6 +151,10 @@
 	rpc.Reply
 	Promised bool
 	Epoch    uint64
+	// Rows are those that the entry knows and that are newer than After, oldest
+	// first, if it promised. More says that there are others.
+	Rows []rowstore.Row
+	More bool
 }
 
 // StoreArgs is a call of the store for a process that the store turns away.
