Decide without repeated searches; keep racks and eviction state between steps

Each step of an eviction searched the places of the whole gang anew, went through all victims for each worker, and asked again whether spreading pays, which is a search of its own.

Change: the planner keeps which workers may run a group, the nodes of each rack, the ends of runs, the cost of stops and whether spreading pays until something changes; evictions keep how much fits by worker and rack, and the cheapest victims of each worker.

--- a/internal/taskplan/place.go
+++ b/internal/taskplan/place.go
@@ -34,16 +34,18 @@
 	group := &p.s.Groups[g]
 	left := group.Tasks
 	for _, near := range []bool{true, false} {
-		if !near && !p.remotePays(group) {
+		if !near && !p.remotePays(g) {
 			break
 		}
+		offers := p.offers(g, near)
 		for len(left) > 0 {
-			n := p.bestNode(g, near)
+			n := best(offers)
 			if n < 0 {
 				break
 			}
 			p.start(g, left[0], n, p.duration(group, n, false))
 			p.note(group, n)
+			offers[n] = p.offer(g, n, near) // the others have not changed
 			left = left[1:]
 		}
 		if group.DataRack == "" {
@@ -71,39 +73,61 @@
 	}
 	present[p.nodes[n].ID]++
 	group.Present = present
+	p.changes++
 }
 
 // remotePays reports whether a run away from the data is worth its longer time:
 // it must still be on time, or no run could be.
-func (p *planner) remotePays(g *Group) bool {
-	if g.DataRack == "" || !p.rackExists(g) {
+func (p *planner) remotePays(g int) bool {
+	group := &p.s.Groups[g]
+	if group.DataRack == "" || !p.rackExists(g) {
 		return true
 	}
-	extra := time.Duration(float64(g.Expected) * (p.s.RemotePenalty - 1))
-	return p.s.Now+g.Chain+extra <= g.OnTime || p.s.Now+g.Chain > g.OnTime+extra
+	extra := time.Duration(float64(group.Expected) * (p.s.RemotePenalty - 1))
+	return p.s.Now+group.Chain+extra <= group.OnTime || p.s.Now+group.Chain > group.OnTime+extra
 }
 
-func (p *planner) rackExists(g *Group) bool {
-	return slices.ContainsFunc(p.nodes, func(n node) bool { return n.Rack == g.DataRack && n.eligible(g) })
+// rackExists reports whether a node of the rack with the group's data may run it.
+func (p *planner) rackExists(g int) bool {
+	return slices.ContainsFunc(p.racks.named(p.s.Groups[g].DataRack), func(n int) bool { return p.eligible(g, n) })
 }
 
-// bestNode returns the node on which a task leaves the least behind, so that
-// whole workers stay free for large tasks; -1 if none has room.
-func (p *planner) bestNode(g int, near bool) int {
-	group := &p.s.Groups[g]
-	best, bestKey := -1, [4]float64{}
+// offer is what a node offers to one more task of a group: none if it has no room,
+// and otherwise a key that is less for a node on which the task leaves less behind,
+// so that whole workers stay free for large tasks.
+type offer struct {
+	room bool
+	key  [4]float64
+}
+
+// offers returns the offers of all nodes that are near the group's data, or of all
+// that are not.
+func (p *planner) offers(g int, near bool) []offer {
+	out := make([]offer, len(p.nodes))
 	for n := range p.nodes {
-		w := &p.nodes[n]
-		if near == remote(group, w.Rack) || p.room(g, n) < 1 {
-			continue
-		}
-		after := w.Free.Add(group.Need, -1)
-		key := [4]float64{w.Slowdown, p.packingCost(n, group.Need, 1), float64(after.GPUs), float64(after.CPUMilli)}
-		if best < 0 || slices.Compare(key[:], bestKey[:]) < 0 {
-			best, bestKey = n, key
+		out[n] = p.offer(g, n, near)
+	}
+	return out
+}
+
+func (p *planner) offer(g, n int, near bool) offer {
+	group, w := &p.s.Groups[g], &p.nodes[n]
+	if near == remote(group, w.Rack) || p.room(g, n) < 1 {
+		return offer{}
+	}
+	after := w.Free.Add(group.Need, -1)
+	return offer{true, [4]float64{w.Slowdown, p.packingCost(n, group.Need, 1), float64(after.GPUs), float64(after.CPUMilli)}}
+}
+
+// best returns the node with the least key; -1 if none has room.
+func best(offers []offer) int {
+	at := -1
+	for n := range offers {
+		if offers[n].room && (at < 0 || slices.Compare(offers[n].key[:], offers[at].key[:]) < 0) {
+			at = n
 		}
 	}
-	return best
+	return at
 }
 
 // placeGang starts all tasks of a gang together or none.
@@ -139,12 +163,12 @@
 func (p *planner) gangSpots(g, n int, room func(g, node int) int) (spots []spot, spread bool) {
 	group := &p.s.Groups[g]
 	if group.DataRack != "" {
-		if spots = p.fill(g, n, room, func(rack string) bool { return rack == group.DataRack }); spots != nil {
+		if spots = p.fill(g, n, room, p.racks.named(group.DataRack)); spots != nil {
 			return spots, false
 		}
 	}
 	if group.SameRack || group.DataRack != "" {
-		if group.DataRack == "" || p.remotePays(group) {
+		if group.DataRack == "" || p.remotePays(g) {
 			if spots = p.oneRack(g, n, room); spots != nil {
 				return spots, false
 			}
@@ -153,48 +177,40 @@
 			return nil, false
 		}
 	}
-	spots = p.fill(g, n, room, func(string) bool { return true })
-	return spots, spots != nil && p.racks(spots) > 1
+	spots = p.fill(g, n, room, p.racks.all)
+	return spots, spots != nil && p.racks.count(spots) > 1
 }
 
-// rackNames lists the racks of all nodes.
-func (p *planner) rackNames() []string {
-	var names []string
-	for i := range p.nodes {
-		names = append(names, p.nodes[i].Rack)
+// enough reports whether gangSpots finds places for n tasks in rooms.
+func (p *planner) enough(g, n int, r *rooms) bool {
+	group := &p.s.Groups[g]
+	if r.total < n {
+		return false
 	}
-	slices.Sort(names)
-	return slices.Compact(names)
-}
-
-func (p *planner) racks(spots []spot) int {
-	seen := map[string]bool{}
-	for _, s := range spots {
-		seen[p.nodes[s.node].Rack] = true
+	if group.DataRack != "" && r.inRack(p.racks, group.DataRack) >= n {
+		return true
+	}
+	if group.SameRack || group.DataRack != "" {
+		if (group.DataRack == "" || p.remotePays(g)) && r.mostInRack() >= n {
+			return true
+		}
+		return p.spreadPays(g, n)
 	}
-	return len(seen)
+	return true
 }
 
 // oneRack returns places in the rack that is left with the least.
 func (p *planner) oneRack(g, n int, room func(g, node int) int) []spot {
 	var best []spot
 	bestFree := 0
-	seen := map[string]bool{}
-	for i := range p.nodes {
-		rack := p.nodes[i].Rack
-		if seen[rack] {
-			continue
-		}
-		seen[rack] = true
-		spots := p.fill(g, n, room, func(r string) bool { return r == rack })
+	for _, nodes := range p.racks.nodes {
+		spots := p.fill(g, n, room, nodes)
 		if spots == nil {
 			continue
 		}
 		free := 0
-		for j := range p.nodes {
-			if p.nodes[j].Rack == rack {
-				free += p.nodes[j].Free.GPUs
-			}
+		for _, i := range nodes {
+			free += p.nodes[i].Free.GPUs
 		}
 		if best == nil || free < bestFree {
 			best, bestFree = spots, free
@@ -209,6 +225,22 @@
 // the gang ends sooner: then it takes nothing from others, and a rack that never
 // comes free does not keep it waiting.
 func (p *planner) spreadPays(g, n int) bool {
+	if known, ok := p.spreads[g]; ok && known.tasks == n && known.changes == p.changes {
+		return known.pays
+	}
+	pays := p.spreadPaysNow(g, n)
+	p.spreads[g] = spreadResult{n, p.changes, pays}
+	return pays
+}
+
+// spreadResult is whether a group of a number of tasks should be spread, at a count
+// of changes.
+type spreadResult struct {
+	tasks, changes int
+	pays           bool
+}
+
+func (p *planner) spreadPaysNow(g, n int) bool {
 	group := &p.s.Groups[g]
 	extra := time.Duration(float64(group.Expected) * (p.s.RemotePenalty - 1))
 	spread, waiting := p.s.Now+group.Chain+extra, p.rackFree(g, n)+group.Chain
@@ -233,11 +265,11 @@
 	group := &p.s.Groups[g]
 	times := p.endTimes()
 	first := sort.Search(len(times), func(i int) bool {
-		room := func(g, node int) int { return p.roomAt(g, node, times[i]) }
+		r := p.countRooms(g, func(g, node int) int { return p.roomAt(g, node, times[i]) })
 		if group.DataRack != "" {
-			return p.fill(g, n, room, func(rack string) bool { return rack == group.DataRack }) != nil
+			return r.inRack(p.racks, group.DataRack) >= n
 		}
-		return p.oneRack(g, n, room) != nil
+		return r.mostInRack() >= n
 	})
 	if first == len(times) {
 		return never
@@ -250,20 +282,24 @@
 
 // endTimes lists the times at which runs are expected to end, ascending.
 func (p *planner) endTimes() []time.Duration {
-	var times []time.Duration
+	if p.times != nil {
+		return p.times
+	}
+	times := []time.Duration{}
 	for i := range p.s.Running {
 		if t := p.endOf(&p.s.Running[i]); t < never {
 			times = append(times, t)
 		}
 	}
 	slices.Sort(times)
-	return slices.Compact(times)
+	p.times = slices.Compact(times)
+	return p.times
 }
 
 // capacity returns how many tasks of the group an empty node holds.
 func (p *planner) capacity(g, n int) int {
 	group, w := &p.s.Groups[g], &p.nodes[n]
-	if !w.eligible(group) {
+	if !p.eligible(g, n) {
 		return 0
 	}
 	count := w.Capacity.Count(group.Need)
@@ -273,16 +309,13 @@
 	return count
 }
 
-// fill returns places for n tasks on nodes of the racks that pass, using the
-// sound nodes that are left with the least first; nil if they do not fit.
-func (p *planner) fill(g, n int, room func(g, node int) int, pass func(rack string) bool) []spot {
+// fill returns places for n tasks on some nodes, using the sound ones that are left
+// with the least first; nil if they do not fit.
+func (p *planner) fill(g, n int, room func(g, node int) int, nodes []int) []spot {
 	group := &p.s.Groups[g]
 	var all []spot
 	total := 0
-	for i := range p.nodes {
-		if !pass(p.nodes[i].Rack) {
-			continue
-		}
+	for _, i := range nodes {
 		if c := room(g, i); c > 0 {
 			all = append(all, spot{i, c})
 			total += c
@@ -316,9 +349,9 @@
 	capable, free := 0, 0
 	usable := false
 	for n := range p.nodes {
-		usable = usable || p.nodes[n].eligible(group)
 		capable += p.capacity(g, n)
-		if p.nodes[n].eligible(group) {
+		if p.eligible(g, n) {
+			usable = true
 			free += p.nodes[n].Free.Count(group.Need)
 		}
 	}
@@ -351,37 +384,37 @@
 		r.amount[s.node] = workflow.Resources{}.Add(p.s.Groups[g].Need, s.count)
 	}
 	p.held = append(p.held, r)
+	p.changes++
 }
 
 // earliest returns the time at which n tasks of a group fit if runs end as
 // expected; the latest possible time if they never do.
 func (p *planner) earliest(g, n int) time.Duration {
-	at, spots := p.earliestSpots(g, n)
-	if spots == nil {
+	times := p.endTimes()
+	// What is free only grows with time, so that the first time is found by halving.
+	first := sort.Search(len(times), func(i int) bool {
+		return p.enough(g, n, p.countRooms(g, func(g, node int) int { return p.roomAt(g, node, times[i]) }))
+	})
+	if first == len(times) {
 		return math.MaxInt64
 	}
-	return at
+	return times[first]
 }
 
 func (p *planner) earliestSpots(g, n int) (time.Duration, []spot) {
-	times := p.endTimes()
-	spotsAt := func(i int) []spot {
-		spots, _ := p.gangSpots(g, n, func(g, node int) int { return p.roomAt(g, node, times[i]) })
-		return spots
-	}
-	// What is free only grows with time, so that the first time is found by halving.
-	first := sort.Search(len(times), func(i int) bool { return spotsAt(i) != nil })
-	if first == len(times) {
+	at := p.earliest(g, n)
+	if at == math.MaxInt64 {
 		return 0, nil
 	}
-	return times[first], spotsAt(first)
+	spots, _ := p.gangSpots(g, n, func(g, node int) int { return p.roomAt(g, node, at) })
+	return at, spots
 }
 
 // roomAt returns how many tasks of the group fit on a node at a time, beside
 // what is reserved.
 func (p *planner) roomAt(g, n int, at time.Duration) int {
 	group, w := &p.s.Groups[g], &p.nodes[n]
-	if !w.eligible(group) || w.Probe {
+	if !p.eligible(g, n) || w.Probe {
 		return 0
 	}
 	free := p.freeAt(n, at)
--- a/internal/taskplan/preempt.go
+++ b/internal/taskplan/preempt.go
@@ -46,7 +46,7 @@
 		return
 	}
 	group := &p.s.Groups[g]
-	x := &eviction{p: p, g: g, soon: p.soonFree(), victims: p.victims(group)}
+	x := p.newEviction(g)
 	if !group.Gang {
 		n = min(n, x.most()) // singles: make room for as many as possible
 	}
@@ -72,19 +72,64 @@
 	g       int
 	victims []victim
 	chosen  []int
+	taken   []bool               // by victim, whether it is chosen
 	soon    []workflow.Resources // what is given back, by node
+	rooms   *rooms               // with what is given back
+	counts  []int                // the same by node
+	// held has what the victims hold on each node, the cheapest for a GPU first.
+	held [][]holding
+	// next is what room for one more task costs, by node; invalid where the node has
+	// changed since.
+	next []nextVictims
 }
 
-// spots returns the places that the group's tasks get, or nil.
-func (x *eviction) spots(n int) []spot {
-	spots, _ := x.p.gangSpots(x.g, n, x.room)
-	return spots
+// holding is what a victim holds on a node.
+type holding struct {
+	victim int
+	back   workflow.Resources
+}
+
+// nextVictims are the victims that cost least for one more task on a node; none if
+// there is no such set.
+type nextVictims struct {
+	valid bool
+	set   []int
+	cost  float64
+}
+
+func (p *planner) newEviction(g int) *eviction {
+	x := &eviction{p: p, g: g, soon: p.soonFree(), victims: p.victims(&p.s.Groups[g]), next: make([]nextVictims, len(p.nodes))}
+	x.taken = make([]bool, len(x.victims))
+	x.counts = make([]int, len(p.nodes))
+	x.rooms = p.countRooms(g, func(_, n int) int {
+		x.counts[n] = x.count(n)
+		return x.counts[n]
+	})
+	x.held = make([][]holding, len(p.nodes))
+	for v := range x.victims {
+		for _, i := range x.victims[v].runs {
+			n := p.runNode[i]
+			if n < 0 {
+				continue
+			}
+			if last := len(x.held[n]) - 1; last < 0 || x.held[n][last].victim != v {
+				x.held[n] = append(x.held[n], holding{victim: v})
+			}
+			h := &x.held[n][len(x.held[n])-1]
+			h.back = h.back.Add(p.s.Running[i].Need, 1)
+		}
+	}
+	perGPU := func(h holding) float64 { return x.victims[h.victim].cost / max(float64(h.back.GPUs), 0.5) }
+	for n := range x.held {
+		slices.SortStableFunc(x.held[n], func(a, b holding) int { return cmp.Compare(perGPU(a), perGPU(b)) })
+	}
+	return x
 }
 
-// room returns how many tasks fit on a node with what is given back.
-func (x *eviction) room(g, n int) int {
-	group, w := &x.p.s.Groups[g], &x.p.nodes[n]
-	if !w.eligible(group) || w.Probe {
+// count returns how many tasks fit on a node with what is given back.
+func (x *eviction) count(n int) int {
+	group, w := &x.p.s.Groups[x.g], &x.p.nodes[n]
+	if !x.p.eligible(x.g, n) || w.Probe {
 		return 0
 	}
 	count := w.Free.Add(x.soon[n], 1).Count(group.Need)
@@ -94,6 +139,15 @@
 	return max(count, 0)
 }
 
+// fits reports whether n tasks fit.
+func (x *eviction) fits(n int) bool { return x.p.enough(x.g, n, x.rooms) }
+
+// spots returns the places that the group's tasks get, or nil.
+func (x *eviction) spots(n int) []spot {
+	spots, _ := x.p.gangSpots(x.g, n, func(_, node int) int { return x.counts[node] })
+	return spots
+}
+
 func (x *eviction) cost() float64 {
 	sum := 0.0
 	for _, v := range x.chosen {
@@ -104,23 +158,31 @@
 
 // give adds what a victim's end gives back; sign -1 takes it back.
 func (x *eviction) give(v, sign int) {
+	x.taken[v] = sign > 0
 	for _, i := range x.victims[v].runs {
-		r := &x.p.s.Running[i]
-		if node, ok := x.p.index[r.Worker]; ok {
-			x.soon[node] = x.soon[node].Add(r.Need, sign)
+		if n := x.p.runNode[i]; n >= 0 {
+			x.soon[n] = x.soon[n].Add(x.p.s.Running[i].Need, sign)
+			count := x.count(n)
+			x.rooms.add(x.p.racks.of[n], count-x.counts[n])
+			x.counts[n], x.next[n].valid = count, false
 		}
 	}
 }
 
+// drop takes all chosen victims back.
+func (x *eviction) drop() {
+	for _, v := range x.chosen {
+		x.give(v, -1)
+	}
+	x.chosen = nil
+}
+
 // most returns how many tasks would fit if all victims were stopped.
 func (x *eviction) most() int {
 	for v := range x.victims {
 		x.give(v, 1)
 	}
-	total := 0
-	for n := range x.p.nodes {
-		total += x.room(x.g, n)
-	}
+	total := x.rooms.total
 	for v := range x.victims {
 		x.give(v, -1)
 	}
@@ -133,19 +195,18 @@
 func (x *eviction) makeRoom(n int) bool {
 	group := &x.p.s.Groups[x.g]
 	if !group.SameRack && group.DataRack == "" {
-		return x.fill(n, func(string) bool { return true })
+		return x.fill(n, x.p.racks.all)
 	}
-	best, bestCost, before := []int(nil), math.Inf(1), slices.Clone(x.soon)
-	for _, rack := range x.p.rackNames() {
-		x.chosen = nil
-		if (group.DataRack == "" || group.DataRack == rack) && x.fill(n, func(r string) bool { return r == rack }) && x.cost() < bestCost {
+	best, bestCost := []int(nil), math.Inf(1)
+	for _, rack := range x.p.racks.sorted {
+		nodes := x.p.racks.nodes[rack]
+		if (group.DataRack == "" || group.DataRack == x.p.nodes[nodes[0]].Rack) && x.fill(n, nodes) && x.cost() < bestCost {
 			best, bestCost = append([]int{}, x.chosen...), x.cost()
 		}
-		copy(x.soon, before)
+		x.drop()
 	}
-	x.chosen = nil
 	if best == nil {
-		return x.fill(n, func(string) bool { return true })
+		return x.fill(n, x.p.racks.all)
 	}
 	for _, v := range best {
 		x.give(v, 1)
@@ -154,15 +215,13 @@
 	return true
 }
 
-func (x *eviction) fill(n int, pass func(rack string) bool) bool {
-	for x.spots(n) == nil {
+// fill chooses victims on some nodes until n tasks fit.
+func (x *eviction) fill(n int, nodes []int) bool {
+	for !x.fits(n) {
 		best, bestCost := []int(nil), math.Inf(1)
-		for node := range x.p.nodes {
-			if !pass(x.p.nodes[node].Rack) {
-				continue
-			}
-			if set, cost := x.oneMore(node); set != nil && cost < bestCost {
-				best, bestCost = set, cost
+		for _, node := range nodes {
+			if next := x.oneMore(node); next.set != nil && next.cost < bestCost {
+				best, bestCost = next.set, next.cost
 			}
 		}
 		if best == nil {
@@ -177,44 +236,33 @@
 }
 
 // oneMore returns the victims on a node that cost least for room for one more
-// task there; nil if there are none.
-func (x *eviction) oneMore(node int) (set []int, cost float64) {
-	if !x.p.nodes[node].eligible(&x.p.s.Groups[x.g]) {
-		return nil, 0
+// task there.
+func (x *eviction) oneMore(n int) *nextVictims {
+	next := &x.next[n]
+	if next.valid {
+		return next
 	}
-	type candidate struct {
-		v    int
-		back workflow.Resources
+	*next = nextVictims{valid: true}
+	if !x.p.eligible(x.g, n) {
+		return next
 	}
-	var here []candidate
-	for v := range x.victims {
-		if slices.Contains(x.chosen, v) {
+	before := x.soon[n]
+	defer func() { x.soon[n] = before }()
+	var set []int
+	cost := 0.0
+	for _, h := range x.held[n] {
+		if x.taken[h.victim] || h.back == (workflow.Resources{}) {
 			continue
 		}
-		back := workflow.Resources{}
-		for _, i := range x.victims[v].runs {
-			if r := &x.p.s.Running[i]; x.p.index[r.Worker] == node {
-				back = back.Add(r.Need, 1)
-			}
-		}
-		if back != (workflow.Resources{}) {
-			here = append(here, candidate{v, back})
-		}
-	}
-	slices.SortStableFunc(here, func(a, b candidate) int {
-		return cmp.Compare(x.victims[a.v].cost/max(float64(a.back.GPUs), 0.5), x.victims[b.v].cost/max(float64(b.back.GPUs), 0.5))
-	})
-	had, before := x.room(x.g, node), x.soon[node]
-	defer func() { x.soon[node] = before }()
-	for _, c := range here {
-		x.soon[node] = x.soon[node].Add(c.back, 1)
-		set = append(set, c.v)
-		cost += x.victims[c.v].cost + minStopCost
-		if x.room(x.g, node) > had {
-			return set, cost
+		x.soon[n] = x.soon[n].Add(h.back, 1)
+		set = append(set, h.victim)
+		cost += x.victims[h.victim].cost + minStopCost
+		if x.count(n) > x.counts[n] {
+			next.set, next.cost = set, cost
+			break
 		}
 	}
-	return nil, 0
+	return next
 }
 
 // prune gives up the victims without which n tasks fit as well, the most costly
@@ -224,7 +272,7 @@
 	kept := []int{}
 	for _, v := range x.chosen {
 		x.give(v, -1)
-		if x.spots(n) == nil {
+		if !x.fits(n) {
 			x.give(v, 1)
 			kept = append(kept, v)
 		}
@@ -234,6 +282,7 @@
 
 // holdNow keeps the room that is being made from the groups that come later.
 func (p *planner) holdNow(g int, spots []spot) {
+	p.changes++
 	for _, s := range spots {
 		p.nodes[s.node].Free = p.nodes[s.node].Free.Add(p.s.Groups[g].Need, -s.count)
 	}
@@ -285,7 +334,7 @@
 		if r.Persistent || r.Stopping || p.stopped[r.ID] || !pass(r) {
 			continue
 		}
-		cost := p.stopCost(r)
+		cost := p.stopCostOf(i)
 		if r.Gang {
 			key := r.ID
 			key.Task.Index = 0
@@ -310,5 +359,16 @@
 	return max(cost, 0) + redoWeight*r.Worth*r.Lost/max(r.Area, 1)
 }
 
+// stopCostOf returns what a stop of run i loses.
+func (p *planner) stopCostOf(i int) float64 {
+	if p.costs == nil {
+		p.costs = make([]float64, len(p.s.Running))
+		for i := range p.s.Running {
+			p.costs[i] = p.stopCost(&p.s.Running[i])
+		}
+	}
+	return p.costs[i]
+}
+
 // minStopCost makes a stop that loses nothing cost something.
 const minStopCost = 0.05
--- a/internal/taskplan/taskplan.go
+++ b/internal/taskplan/taskplan.go
@@ -194,15 +194,27 @@
 	s       *Snapshot
 	nodes   []node
 	index   map[string]int
+	racks   *racks
 	total   workflow.Resources
 	order   []int
 	score   []float64
 	plan    *Plan
 	held    []reservation
 	endings [][]int // running by node, ascending by end
+	runNode []int   // node of each run; -1 if its worker is not in the snapshot
 	stopped map[workflow.RunID]bool
 	// perGPU is the cores (thousandths) and memory (MiB) that tasks want for each GPU.
 	perGPU [2]float64
+
+	// What follows is worked out once a decision, at the first use.
+
+	fitting [][]bool // nodes that may run a group, by group
+	times   []time.Duration
+	costs   []float64 // of a stop, by run
+	// changes counts what changes the free or the reserved room, spreads has what
+	// was found out of a group at a count of changes.
+	changes int
+	spreads map[int]spreadResult
 }
 
 // Decide returns the plan for the snapshot.
@@ -210,7 +222,10 @@
 	own := *s
 	own.Groups = slices.Clone(s.Groups)
 	s = &own
-	p := &planner{s: s, plan: &Plan{Waits: map[int]Reason{}}, index: map[string]int{}, stopped: map[workflow.RunID]bool{}}
+	p := &planner{
+		s: s, plan: &Plan{Waits: map[int]Reason{}}, index: map[string]int{}, stopped: map[workflow.RunID]bool{},
+		fitting: make([][]bool, len(s.Groups)), spreads: map[int]spreadResult{},
+	}
 	for i, w := range s.Workers {
 		if w.Slowdown < 1 {
 			w.Slowdown = 1
@@ -219,10 +234,13 @@
 		p.index[w.ID] = i
 		p.total = p.total.Add(w.Capacity, 1)
 	}
-	p.endings = make([][]int, len(p.nodes))
+	p.racks = newRacks(p.nodes)
+	p.endings, p.runNode = make([][]int, len(p.nodes)), make([]int, len(s.Running))
 	for i := range s.Running {
+		p.runNode[i] = -1
 		if n, ok := p.index[s.Running[i].Worker]; ok {
 			p.endings[n] = append(p.endings[n], i)
+			p.runNode[i] = n
 		}
 	}
 	p.measureDemand()
@@ -295,7 +313,7 @@
 // that runs for several times as long, and anywhere.
 func (p *planner) widen(g int) {
 	group := &p.s.Groups[g]
-	if !group.Gang || !group.SameRack || p.oneRack(g, len(group.Tasks), p.capacity) != nil {
+	if !group.Gang || !group.SameRack || p.countRooms(g, p.capacity).mostInRack() >= len(group.Tasks) {
 		return
 	}
 	extra := time.Duration(float64(group.Expected) * (p.s.RemotePenalty - 1))
@@ -309,13 +327,25 @@
 	return n.Usable && n.Pool == g.Pool && !g.Avoid[n.ID] && (g.Allowed == nil || g.Allowed[n.ID]) && (g.Label == "" || slices.Contains(n.Labels, g.Label)) && n.Capacity.Fits(g.Need)
 }
 
+// eligible reports whether node n may run the tasks of group g at all.
+func (p *planner) eligible(g, n int) bool {
+	if p.fitting[g] == nil {
+		fitting := make([]bool, len(p.nodes))
+		for i := range p.nodes {
+			fitting[i] = p.nodes[i].eligible(&p.s.Groups[g])
+		}
+		p.fitting[g] = fitting
+	}
+	return p.fitting[g][n]
+}
+
 // remote reports whether the group's tasks are slowed on the rack.
 func remote(g *Group, rack string) bool { return g.DataRack != "" && g.DataRack != rack }
 
 // room returns how many tasks of the group fit on node n now.
 func (p *planner) room(g int, n int) int {
 	group, w := &p.s.Groups[g], &p.nodes[n]
-	if !w.eligible(group) {
+	if !p.eligible(g, n) {
 		return 0
 	}
 	count := w.Free.Count(group.Need)
@@ -377,6 +407,7 @@
 }
 
 func (p *planner) start(g, task, n int, d time.Duration) {
+	p.changes++
 	p.nodes[n].Free = p.nodes[n].Free.Add(p.s.Groups[g].Need, -1)
 	p.plan.Starts = append(p.plan.Starts, Start{Group: g, Task: task, Worker: p.nodes[n].ID, Expected: d})
 }
