Decide only after what changes a decision; order runs without their text form

Cause: every report of an agent asked for a decision.

Change: a report asks for a decision if the worker's use, its ends or the room on it change; the tick of 100 ms remains. The pause before a decision grows with the time that the last one took, to 50 ms at most.

--- a/internal/taskowner/cycle.go
+++ b/internal/taskowner/cycle.go
@@ -176,7 +176,7 @@
 		}
 	}
 	slices.SortFunc(snap.Workers, func(a, b taskplan.Worker) int { return cmp.Compare(a.ID, b.ID) })
-	slices.SortFunc(snap.Running, func(a, b taskplan.Running) int { return cmp.Compare(a.ID.String(), b.ID.String()) })
+	slices.SortFunc(snap.Running, func(a, b taskplan.Running) int { return a.ID.Compare(b.ID) })
 	uncertain := o.uncertain()
 	var groups []group
 	claims := map[string]int{} // GPUs of guaranteed work by account
--- a/internal/taskowner/job.go
+++ b/internal/taskowner/job.go
@@ -224,6 +224,7 @@
 		o.changed(j)
 	}
 	w.pending = append(w.pending, pendingEnd{e.Seq, j, j.gen})
+	signal(o.kick)
 	r := w.runs[e.ID]
 	o.learn(w, j, r, e)
 	if r != nil {
--- a/internal/taskowner/owner.go
+++ b/internal/taskowner/owner.go
@@ -87,8 +87,11 @@
 const (
 	// tickInterval is how often the owner looks for what only time changes.
 	tickInterval = 100 * time.Millisecond
-	// gatherDelay lets the reports of one event arrive before a decision.
-	gatherDelay = 2 * time.Millisecond
+	// gatherDelay lets the reports of one event arrive before a decision. It grows
+	// to the time of the last decision, so that decisions take half of the
+	// processor at most, up to maxGatherDelay.
+	gatherDelay    = 2 * time.Millisecond
+	maxGatherDelay = 50 * time.Millisecond
 	// freshContact is the age of an agent's last call up to which its worker
 	// receives starts. Agents call at least every 500 ms.
 	freshContact = 1200 * time.Millisecond
@@ -336,18 +339,20 @@
 func (o *Owner) cycles() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	var took time.Duration // by the last decision
 	for {
 		select {
 		case <-o.ctx.Done():
 			return
 		case <-ticker.C:
 		case <-o.kick:
-			time.Sleep(gatherDelay)
+			time.Sleep(max(gatherDelay, min(took, maxGatherDelay)))
 			select {
 			case <-o.kick:
 			default:
 			}
 		}
+		began := time.Now()
 		o.mu.Lock()
 		if o.loaded && !o.stopped && o.o.Authority() {
 			o.expire()
@@ -355,5 +360,6 @@
 			o.cycle()
 		}
 		o.mu.Unlock()
+		took = time.Since(began)
 	}
 }
--- /dev/null
+++ b/internal/taskowner/size_test.go
@@ -0,0 +1,69 @@
+package taskowner
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/parsleypier/parsleypier/internal/eventlog"
+	"github.com/parsleypier/parsleypier/internal/rowstore"
+	"github.com/parsleypier/parsleypier/internal/standin/rows"
+	"github.com/parsleypier/parsleypier/internal/taskplan"
+	"github.com/parsleypier/parsleypier/internal/taskrpc"
+	"github.com/parsleypier/parsleypier/internal/workflow"
+)
+
+// busyOwner returns an owner of many workers that are all in use, with jobs that
+// wait.
+func busyOwner(tb testing.TB, workers, jobs int) *Owner {
+	tb.Helper()
+	table := rows.New()
+	store := table.For("owner")
+	began := time.Now()
+	o := New(Options{
+		ID: "owner", Addr: "owner", Epoch: 2, Version: 1, Store: store, Table: testTable, Config: testConfig{gpus: 16}, Caller: noCalls{},
+		Mirror: rowstore.NewMirror(store, testTable, eventlog.Discard(), nil), Log: eventlog.Discard(),
+		Entries: func() ([]string, uint64) { return nil, 0 }, Authority: func() bool { return true }, NoticeEpoch: func(uint64) {},
+		NoteFenced: func(uint64, time.Duration) {}, Clock: func() time.Duration { return time.Since(began) }, Decide: taskplan.Decide,
+		UnixMillis: func() int64 { return time.Now().UnixMilli() },
+		Times:      Times{Lease: testLease, StopGrace: 200 * time.Millisecond, GangWait: 3 * time.Second, Reclaim: 2700 * time.Millisecond, RemotePenalty: 3, Kept: time.Minute},
+	})
+	o.loaded = true
+	for i := range workers {
+		id := fmt.Sprintf("w%03d", i)
+		w := newWorker(id)
+		w.reported, w.row, w.fence, w.lastCall = true, true, 2, time.Now().Add(time.Hour)
+		w.info = taskrpc.Worker{ID: id, Rack: fmt.Sprintf("r%d", i/12), Capacity: workflow.Resources{CPUMilli: 64000, MemoryMB: 1 << 18, GPUs: 8}}
+		o.workers[id] = w
+	}
+	for i := range jobs {
+		rec := workflow.Record{ID: fmt.Sprintf("%016x", i), Queue: "q", Account: fmt.Sprintf("a%d", i%24), Terms: workflow.Terms{MaxAttempts: 2, Stretch: 3}}
+		rec.Spec.Steps = []workflow.Step{{Tasks: 1 + i%20, Gang: i%3 == 0, Estimate: 3000, Need: workflow.Resources{CPUMilli: 6000, MemoryMB: 20000, GPUs: 1 + i%2}}}
+		value, err := json.Marshal(rec)
+		if err != nil {
+			tb.Fatal(err)
+		}
+		o.observe(rowstore.Row{Table: testTable, Key: workflow.RecordPrefix + rec.ID, Value: value, Version: uint64(i) + 2})
+	}
+	return o
+}
+
+// BenchmarkCycle measures a whole decision of the owner, by the number of workers:
+// all are in use, and as many jobs wait as there are workers.
+func BenchmarkCycle(b *testing.B) {
+	for _, workers := range []int{11, 73, 240} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			o := busyOwner(b, workers, workers)
+			o.cycle()
+			for b.Loop() {
+				o.cycle()
+			}
+			running := 0
+			for _, w := range o.workers {
+				running += len(w.runs)
+			}
+			b.ReportMetric(float64(running), "runs")
+		})
+	}
+}
--- a/internal/taskowner/worker.go
+++ b/internal/taskowner/worker.go
@@ -135,9 +135,10 @@
 // show that it is sound again.
 func (s *suspicion) probing() bool { return s.failed > 1 }
 
-// usable reports whether the worker may receive starts.
+// usable reports whether the worker may receive starts; a worker that is not known
+// may not.
 func (o *Owner) usable(w *worker) bool {
-	if !w.reported || w.fence != o.o.Epoch || !w.member() || w.info.Draining || w.info.Gone || w.lost || w.info.Silent > 0 {
+	if w == nil || !w.reported || w.fence != o.o.Epoch || !w.member() || w.info.Draining || w.info.Gone || w.lost || w.info.Silent > 0 {
 		return false
 	}
 	return time.Since(w.lastCall) < freshContact && o.now() >= w.suspicion.until && o.health.State(o.now(), w.id) != structs.WorkerQuarantined
@@ -260,6 +261,7 @@
 		reply.Err = verdict.Refuse(verdict.CodeUnavailable, "the owner of epoch %d is starting, ending or out of touch", o.o.Epoch)
 		return
 	}
+	was := o.usable(o.workers[args.Worker.ID])
 	w, current := o.accept(args)
 	if !current {
 		reply.Superseded = w != nil && args.Worker.Incarnation == w.incarnation
@@ -272,7 +274,9 @@
 		return // the agent makes the worker refuse earlier owners first
 	}
 	rejected := o.report(w, args)
-	signal(o.kick)
+	if was != o.usable(w) {
+		signal(o.kick)
+	}
 	if args.Worker.Gone {
 		o.removeWorker(w, "gone")
 		return
@@ -382,6 +386,9 @@
 			"expected", w.expected, "epoch", o.o.Epoch)
 		o.replaced(w)
 	}
+	if w.expected {
+		signal(o.kick) // inherited jobs may no longer have to wait for it
+	}
 	w.reported, w.expected = true, false
 	if args.Worker.Lapsed {
 		return nil
@@ -397,6 +404,7 @@
 	}
 	w.note()
 	var rejected []workflow.RunID
+	strangers := len(w.strangers)
 	clear(w.strangers)
 	for _, rep := range args.Runs {
 		if rep.State == taskrpc.RunRejected {
@@ -414,6 +422,9 @@
 			o.update(r, rep)
 		}
 	}
+	if len(w.strangers) < strangers {
+		signal(o.kick) // room has become free
+	}
 	return rejected
 }
 
--- a/internal/workflow/spec.go
+++ b/internal/workflow/spec.go
@@ -4,6 +4,7 @@
 package workflow
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"strconv"
@@ -193,6 +194,15 @@
 // String returns the form TASK#ATTEMPT.
 func (r RunID) String() string { return r.Task.String() + "#" + strconv.Itoa(r.Attempt) }
 
+// Compare orders runs by job, occurrence, step, index and attempt.
+func (r RunID) Compare(o RunID) int {
+	if c := strings.Compare(r.Task.Job, o.Task.Job); c != 0 {
+		return c
+	}
+	return cmp.Or(cmp.Compare(r.Task.Occurrence, o.Task.Occurrence), cmp.Compare(r.Task.Step, o.Task.Step),
+		cmp.Compare(r.Task.Index, o.Task.Index), cmp.Compare(r.Attempt, o.Attempt))
+}
+
 // EndKind says how a run ended.
 type EndKind string
 
