Let a gang return to workers without which it does not fit

A gang of four whole workers had failed on three of six workers, which it then avoided. A group returned to such workers only if no other worker could run any of its tasks, so the gang never fitted, with all workers idle.

Ruled out: suspicion and quarantine; all six workers were usable in the log.

Change: a group avoids workers only while the others could hold it: all members of a gang, one task otherwise. TestGangReturnsToWorkersItNeeds fails before.

--- a/internal/taskplan/gang_test.go
+++ b/internal/taskplan/gang_test.go
@@ -114,3 +114,22 @@
 		t.Fatalf("starts %v, waits %v", p.Starts, p.Waits)
 	}
 }
+
+// Guards against a gang that waits for ever because its members failed on workers
+// without which it does not fit, though all are sound and idle (simulation, seed
+// 3011).
+func TestGangReturnsToWorkersItNeeds(t *testing.T) {
+	s := snapshot(6)
+	g := group("j", 4, gpus(8))
+	g.Gang, g.Avoid = true, map[string]bool{"w00": true, "w03": true, "w05": true}
+	s.Groups = []Group{g}
+	if p := Decide(s); len(p.Starts) != 4 {
+		t.Errorf("%d members start, waits %v; want all 4", len(p.Starts), p.Waits)
+	}
+	s.Groups[0].Tasks = s.Groups[0].Tasks[:3]
+	for _, st := range Decide(s).Starts {
+		if g.Avoid[st.Worker] {
+			t.Errorf("a member starts on %s, where the gang failed, without need", st.Worker)
+		}
+	}
+}
--- a/internal/taskplan/taskplan.go
+++ b/internal/taskplan/taskplan.go
@@ -49,7 +49,7 @@
 	MaxPerWorker int
 	Present      map[string]int
 	// Avoid lists workers on which the group's tasks failed. They are used only
-	// when no other worker could run the group.
+	// when the other workers could not hold the group.
 	Avoid map[string]bool
 	// Allowed lists the only workers that may run the group; nil if all may.
 	Allowed map[string]bool
@@ -245,7 +245,7 @@
 	}
 	p.measureDemand()
 	for g := range s.Groups {
-		p.relax(&s.Groups[g])
+		p.relax(g)
 		p.widen(g)
 	}
 	p.evacuate()
@@ -302,10 +302,16 @@
 	})
 }
 
-// relax lets a group run again on workers where it failed if there are no others.
-func (p *planner) relax(g *Group) {
-	if len(g.Avoid) > 0 && !slices.ContainsFunc(p.nodes, func(n node) bool { return n.eligible(g) }) {
-		g.Avoid = nil
+// relax lets a group run again on workers where it failed if the others could not
+// hold it.
+func (p *planner) relax(g int) {
+	group := &p.s.Groups[g]
+	need := 1
+	if group.Gang {
+		need = len(group.Tasks)
+	}
+	if len(group.Avoid) > 0 && p.countRooms(g, p.capacity).total < need {
+		group.Avoid, p.fitting[g] = nil, nil
 	}
 }
 
