--- a/internal/taskbench/loads.go
+++ b/internal/taskbench/loads.go
@@ -43,6 +43,12 @@
 			StopGrace: 200 * time.Millisecond, Reclaim: 2700 * time.Millisecond, Accounts: 10, Guaranteed: 16,
 		}
 	}
+	large := func(name string, factor float64, bursts ...Burst) *Load {
+		return &Load{
+			Name: name, Workers: 240, Racks: 20, Kinds: kinds(5.33*factor, 0.624*factor, 0.916*factor, 8, 25, 78), Bursts: bursts, Length: 17 * time.Second,
+			StopGrace: 200 * time.Millisecond, Reclaim: 2700 * time.Millisecond, Accounts: 24, Guaranteed: 16,
+		}
+	}
 	return []*Load{
 		small("11 workers, usual", 1),
 		small("11 workers, urgent burst", 1.1, Burst{"urgent", 4 * time.Second, 6 * time.Second, 3}),
@@ -50,5 +56,6 @@
 		grown("73 workers, usual", 0.8),
 		grown("73 workers, urgent burst", 1, Burst{"urgent", 2 * time.Second, 5 * time.Second, 1.8}),
 		grown("73 workers, large burst", 1, Burst{"large", 2 * time.Second, 4 * time.Second, 2}, Burst{"urgent", 2 * time.Second, 5 * time.Second, 1.5}),
+		large("240 workers, urgent burst", 1, Burst{"urgent", 5 * time.Second, 6 * time.Second, 2.1}),
 	}
 }
