Bound an order to start by the lease of the call that it answers

Change: the order's deadline is at most the lease after the call that it answers, on the worker's clock, so that the worker rejects it as late.

--- a/internal/taskagent/agent_test.go
+++ b/internal/taskagent/agent_test.go
@@ -148,6 +148,9 @@
 	start []taskrpc.Start
 	stop  []workflow.RunID
 	last  taskrpc.SyncArgs
+	// pause delays the replies beyond the time-out of the calls: so they look to an
+	// agent whose process was paused after it received them.
+	pause time.Duration
 }
 
 func (o *fakeOwner) Call(ctx context.Context, _, method string, args rpc.Headed, reply rpc.Failer) error {
@@ -169,6 +172,10 @@
 		return ctx.Err()
 	}
 	o.mu.Lock()
+	pause := o.pause
+	o.mu.Unlock()
+	time.Sleep(pause)
+	o.mu.Lock()
 	defer o.mu.Unlock()
 	if sync.Seq > o.last.Seq {
 		o.last = *sync
@@ -400,6 +407,30 @@
 	})
 }
 
+// Guards against a start by an agent that was paused for longer than the lease
+// after it had received the order: the owner has given the run up by then and
+// started it elsewhere.
+func TestPausedAgentStartsNothing(t *testing.T) {
+	for pause, want := range map[time.Duration]int{testLease - time.Second: 1, testLease + time.Second: 0} {
+		run(t, func(t *testing.T, r *rig) {
+			r.owner.mu.Lock()
+			r.owner.pause = pause
+			r.owner.mu.Unlock()
+			r.order(testRun(1))
+			time.Sleep(pause / 2)
+			r.owner.mu.Lock()
+			r.owner.pause = 0
+			r.owner.mu.Unlock()
+			time.Sleep(pause/2 + 700*time.Millisecond)
+			r.worker.mu.Lock()
+			defer r.worker.mu.Unlock()
+			if got := len(r.worker.running); got != want {
+				t.Errorf("%d runs begin after a pause of %v, want %d", got, pause, want)
+			}
+		})
+	}
+}
+
 // Guards against the start of work on a worker that is leaving.
 func TestDrainingWorkerStartsNothing(t *testing.T) {
 	run(t, func(t *testing.T, r *rig) {
--- a/internal/taskagent/orders.go
+++ b/internal/taskagent/orders.go
@@ -23,8 +23,9 @@
 	startTries = 5
 )
 
-// apply carries out what the owner's reply asks for. The lock is held.
-func (s *session) apply(ctx context.Context, reply *taskrpc.SyncReply) {
+// apply carries out what the owner's reply to a call that was sent at a time asks
+// for. The lock is held.
+func (s *session) apply(ctx context.Context, reply *taskrpc.SyncReply, sent time.Time) {
 	if reply.Noted > s.noted {
 		s.noted = reply.Noted
 		for len(s.ends) > 0 && s.ends[0].Seq <= s.noted {
@@ -62,13 +63,15 @@
 		}
 		r := &localRun{state: taskrpc.RunStarting}
 		s.runs[order.ID] = r
-		go s.start(ctx, order, r)
+		go s.start(ctx, order, r, sent)
 	}
 }
 
-// start carries out an order to start. An order that was not answered is sent
+// start carries out an order to start, which is valid for as long as the leases that
+// follow from the call it answers: the owner gives the run up after that, and this
+// process may have been paused meanwhile. An order that was not answered is sent
 // again for the same attempt, which starts nothing twice.
-func (s *session) start(ctx context.Context, order taskrpc.Start, r *localRun) {
+func (s *session) start(ctx context.Context, order taskrpc.Start, r *localRun, sent time.Time) {
 	reason := ReasonNoAnswer
 	for range startTries {
 		s.mu.Lock()
@@ -84,7 +87,7 @@
 		}
 		call := StartCall{
 			ID: order.ID, Payload: order.Payload, Checkpoint: order.Checkpoint, Ticket: order.Ticket, Fence: s.fence,
-			Deadline: s.clockNow(time.Now()) + startWindow,
+			Deadline: min(s.clockNow(time.Now())+startWindow, s.clockNow(sent)+s.a.o.Lease),
 		}
 		s.startsSent = time.Now()
 		s.mu.Unlock()
--- a/internal/taskagent/sync.go
+++ b/internal/taskagent/sync.go
@@ -138,6 +138,6 @@
 	if s.gone {
 		return true
 	}
-	s.apply(ctx, r.reply)
+	s.apply(ctx, r.reply, r.sent)
 	return false
 }
