Contain panics of single rows, agent calls and decisions

One of the faults that operators of similar systems met: one malformed message took a whole process down. It could happen here: a progress row with a null part ended each entry that read it, and every owner after it (nil pointer in Progress.Merge). TestForeignRowsEndNoProcess puts such rows and others of foreign writers into the tables; the test process panics before.

Change: rows are taken over one by one, agent calls and decisions are called through package guard, which counts (contained_panics), logs with the stack, and goes on. A call that panicked is answered as one that may have run. Clients' and workers' HTTP handlers had this already, from net/http.

--- a/internal/taskdaemon/entry.go
+++ b/internal/taskdaemon/entry.go
@@ -18,6 +18,7 @@
 	"github.com/parsleypier/parsleypier/internal/election"
 	"github.com/parsleypier/parsleypier/internal/eventlog"
 	"github.com/parsleypier/parsleypier/internal/gateway"
+	"github.com/parsleypier/parsleypier/internal/guard"
 	"github.com/parsleypier/parsleypier/internal/retry"
 	"github.com/parsleypier/parsleypier/internal/rowstore"
 	"github.com/parsleypier/parsleypier/internal/taskowner"
@@ -224,21 +225,25 @@
 
 func (e *Entry) observe(rows []rowstore.Row) {
 	for _, r := range rows {
-		switch prefix, _ := workflow.CutKey(r.Key); {
-		case r.Key == election.RowKey:
-			e.elector.Observe(r)
-		case prefix == workflow.EntryPrefix:
-			e.entries.observe(r)
-		case prefix == workflow.ProgressPrefix || prefix == workflow.WorkerPrefix:
-			e.elector.NoteLife(r.Version)
-		}
+		guard.Run(e.o.Log, "row", func() { e.observeRow(r) })
 	}
-	e.Gateway.Observe(rows)
+	guard.Run(e.o.Log, "gateway_rows", func() { e.Gateway.Observe(rows) })
 	if o := e.currentOwner(); o != nil {
 		o.Observe(rows)
 	}
 }
 
+func (e *Entry) observeRow(r rowstore.Row) {
+	switch prefix, _ := workflow.CutKey(r.Key); {
+	case r.Key == election.RowKey:
+		e.elector.Observe(r)
+	case prefix == workflow.EntryPrefix:
+		e.entries.observe(r)
+	case prefix == workflow.ProgressPrefix || prefix == workflow.WorkerPrefix:
+		e.elector.NoteLife(r.Version)
+	}
+}
+
 func (e *Entry) currentOwner() *taskowner.Owner {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -250,7 +255,7 @@
 		if r.Key != e.o.ConfigKey || r.Deleted {
 			continue
 		}
-		e.offerConfig(r.Value, "store")
+		guard.Run(e.o.Log, "configuration", func() { e.offerConfig(r.Value, "store") })
 	}
 }
 
--- a/internal/taskdaemon/peer.go
+++ b/internal/taskdaemon/peer.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/parsleypier/parsleypier/internal/guard"
 	"github.com/parsleypier/parsleypier/internal/retry"
 	"github.com/parsleypier/parsleypier/internal/rowstore"
 	"github.com/parsleypier/parsleypier/internal/rpc"
@@ -123,7 +124,10 @@
 // Sync passes an agent's call to the owner, if it is this entry.
 func (s *tasksService) Sync(args *taskrpc.SyncArgs, reply *taskrpc.SyncReply) error {
 	if o := s.e.currentOwner(); o != nil {
-		o.Sync(args, reply)
+		if !guard.Run(s.e.o.Log, "agent_call", func() { o.Sync(args, reply) }) {
+			*reply = taskrpc.SyncReply{}
+			reply.Err = verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the call could not be served")
+		}
 		return nil
 	}
 	if holder, ok := s.e.elector.Owner(); ok {
--- a/internal/taskdaemon/sim_cases_test.go
+++ b/internal/taskdaemon/sim_cases_test.go
@@ -157,3 +157,42 @@
 		t.Fatal("a gang that has failed three times was started again, and nobody noticed")
 	}
 }
+
+// Guards against a row of another writer that ends every owner that reads it, and
+// against other work that suffers from it. Rows with a lasting null, of another
+// type, with steps that do not exist, and with unreadable bytes.
+func TestForeignRowsEndNoProcess(t *testing.T) {
+	scene(t, func(s *sim) {
+		const id = "5c0e7a21d94b36f8"
+		need := workflow.Resources{CPUMilli: 1000, MemoryMB: 100, GPUs: 1}
+		spec := workflow.Spec{Payload: "x", Steps: []workflow.Step{{Tasks: 2, Need: need, Estimate: 4000}}}
+		e := s.entries["entry0"]
+		s.submit(e, id, spec)
+		time.Sleep(200 * time.Millisecond)
+		for _, value := range []string{`{"parts":{"0":null,"-7":{"done":[9,-1]}}}`, `{"parts":{"0":null}}`, `[]`, "\xff", `null`, `{"parts":{"0":{"failed":{"5":null}}}}`} {
+			s.table.Put(Table, workflow.ProgressPrefix+id, []byte(value))
+			s.table.Put(Table, workflow.ProgressPrefix+"00000000000000aa", []byte(value))
+			s.table.Put(Table, workflow.RecordPrefix+"00000000000000ab", []byte(value))
+			s.table.Put(Table, workflow.WorkerPrefix+"foreign", []byte(value))
+			s.table.Put(Table, workflow.EntryPrefix+"foreign", []byte(value))
+			s.table.Put(Table, workflow.CancelPrefix+"00000000000000ac", []byte(value))
+			s.table.Put("op", "config", []byte(value))
+			time.Sleep(200 * time.Millisecond)
+		}
+		const other = "5c0e7a21d94b36f9"
+		s.submit(e, other, spec)
+		s.killEntry(s.owner()) // the next owner reads all rows at once
+		s.followOne(other)
+	})
+}
+
+// followOne waits until a job has ended at an entry that lives.
+func (s *sim) followOne(id string) {
+	s.t.Helper()
+	for deadline := time.Now().Add(30 * time.Second); time.Now().Before(deadline); time.Sleep(300 * time.Millisecond) {
+		if state, known, err := s.entry().Gateway.State(s.ctx, simQueue("batch"), id); err == nil && known && state.Final() {
+			return
+		}
+	}
+	s.t.Errorf("job %s has not ended", id)
+}
--- a/internal/taskowner/owner.go
+++ b/internal/taskowner/owner.go
@@ -16,6 +16,7 @@
 
 	"github.com/parsleypier/parsleypier/internal/estimate"
 	"github.com/parsleypier/parsleypier/internal/eventlog"
+	"github.com/parsleypier/parsleypier/internal/guard"
 	"github.com/parsleypier/parsleypier/internal/rowstore"
 	"github.com/parsleypier/parsleypier/internal/rpc"
 	"github.com/parsleypier/parsleypier/internal/taskplan"
@@ -222,7 +223,12 @@
 	signal(o.kick)
 }
 
+// observe takes over a row. One that the owner cannot cope with is left out.
 func (o *Owner) observe(r rowstore.Row) {
+	guard.Run(o.o.Log, "owner_row", func() { o.observeRow(r) })
+}
+
+func (o *Owner) observeRow(r rowstore.Row) {
 	prefix, name := workflow.CutKey(r.Key)
 	switch prefix {
 	case workflow.RecordPrefix:
@@ -353,13 +359,17 @@
 			}
 		}
 		began := time.Now()
-		o.mu.Lock()
-		if o.loaded && !o.stopped && o.o.Authority() {
-			o.expire()
-			o.recall()
-			o.cycle()
-		}
-		o.mu.Unlock()
+		guard.Run(o.o.Log, "decision", o.decide)
 		took = time.Since(began)
 	}
 }
+
+func (o *Owner) decide() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.loaded && !o.stopped && o.o.Authority() {
+		o.expire()
+		o.recall()
+		o.cycle()
+	}
+}
--- a/internal/workflow/progress.go
+++ b/internal/workflow/progress.go
@@ -52,6 +52,9 @@
 		p.State, p.EndedAt = o.State, o.EndedAt
 	}
 	for k, v := range o.Parts {
+		if v == nil {
+			continue // a row of another writer
+		}
 		part := p.at(k)
 		for _, i := range v.Done {
 			part.addDone(i)
