--- a/internal/taskowner/metrics.go
+++ b/internal/taskowner/metrics.go
@@ -16,6 +16,7 @@
 	stopsMade = new(expvar.Int)         // runs that were ordered to stop
 	lostRuns  = new(expvar.Int)         // runs that ended with their worker or its lease
 	writeWait = subMap("write_latency") // writes of the owner, by upper bound
+	decisions = subMap("decision_time") // decisions with what follows from them, by upper bound
 )
 
 func init() {
--- a/internal/taskowner/owner.go
+++ b/internal/taskowner/owner.go
@@ -20,6 +20,7 @@
 	"github.com/parsleypier/parsleypier/internal/rowstore"
 	"github.com/parsleypier/parsleypier/internal/rpc"
 	"github.com/parsleypier/parsleypier/internal/taskplan"
+	"github.com/parsleypier/parsleypier/internal/telemetry"
 	"github.com/parsleypier/parsleypier/internal/workflow"
 )
 
@@ -368,8 +369,10 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.loaded && !o.stopped && o.o.Authority() {
+		began := time.Now()
 		o.expire()
 		o.recall()
 		o.cycle()
+		decisions.Add(telemetry.Bucket(time.Since(began)), 1)
 	}
 }
