Count suspensions in leases, orders and the age of knowledge

An agent took a lease from before a suspension as if no time had passed, once its worker had answered again: leases were renewed to a time at which the owner counts them as over, and an order from before was carried out with a bound that was too late by the suspension. The owner's new bound on what it knows had the same fault.

Change: sessions keep these times on a clock that counts suspensions (boottime in hosted processes), an order expires on it so early that the worker's own deadline ends within the lease, and the mirror's age uses the entry's clock.

--- a/cmd/parsleypierd/hosted.go
+++ b/cmd/parsleypierd/hosted.go
@@ -131,7 +131,7 @@
 	pool := rpc.NewPool("", s.Process, nil)
 	a := taskdaemon.NewAgent(taskdaemon.AgentOptions{
 		ID: s.Process, RPCAddr: s.RPCAddr, Seeds: s.Seeds, Store: openStore(platform.NewStoreExchange(s.StoreAddr)),
-		Connect: platform.ConnectWorker, Lease: s.Times.MaxLease, Log: log, Caller: pool,
+		Connect: platform.ConnectWorker, Lease: s.Times.MaxLease, Log: log, Caller: pool, Clock: boottime.Now,
 	})
 	server, err := serveRPC(s.RPCAddr, a.Services())
 	if err != nil {
--- a/internal/rowstore/mirror.go
+++ b/internal/rowstore/mirror.go
@@ -42,12 +42,15 @@
 	// Pace returns the pause after an answer with changes, in which more of them
 	// gather; nil for none. It is set before Run.
 	Pace func() time.Duration
+	// Clock is a steady clock for Age, that counts suspensions where it matters. It
+	// is set before Run.
+	Clock func() time.Duration
 
 	mu      sync.Mutex
 	rows    map[string]Row
 	version uint64
 	loaded  bool
-	freshAt time.Time // start of the last call that succeeded
+	freshAt time.Duration // start of the last call that succeeded, on Clock
 	// answeredAt is when it was answered.
 	answeredAt time.Time
 	down       bool
@@ -59,7 +62,11 @@
 	if onChange == nil {
 		onChange = func([]Row) {}
 	}
-	return &Mirror{store: store, table: table, log: log, onChange: onChange, rows: map[string]Row{}, changed: make(chan struct{})}
+	begun := time.Now()
+	return &Mirror{
+		store: store, table: table, log: log, onChange: onChange, rows: map[string]Row{}, changed: make(chan struct{}),
+		Clock: func() time.Duration { return time.Since(begun) },
+	}
 }
 
 // Run follows the table until ctx ends.
@@ -78,7 +85,7 @@
 	m.mu.Lock()
 	loaded, version := m.loaded, m.version
 	m.mu.Unlock()
-	started := time.Now()
+	started := m.Clock()
 	if !loaded {
 		return m.load(ctx, started)
 	}
@@ -99,7 +106,7 @@
 
 // load reads the whole table. The version of the first page is where the feed
 // goes on: rows that change while later pages are read come again.
-func (m *Mirror) load(ctx context.Context, started time.Time) error {
+func (m *Mirror) load(ctx context.Context, started time.Duration) error {
 	all := Page{}
 	from := ""
 	for {
@@ -122,7 +129,7 @@
 
 // apply takes over rows that are newer than what is known. whole says that rows
 // which are not on the page do not exist.
-func (m *Mirror) apply(page Page, started time.Time, whole bool) {
+func (m *Mirror) apply(page Page, started time.Duration, whole bool) {
 	m.mu.Lock()
 	var news []Row
 	seen := map[string]bool{}
@@ -167,7 +174,7 @@
 	m.mu.Lock()
 	lost := !m.down
 	m.down = true
-	age := time.Since(m.freshAt)
+	age := m.Clock() - m.freshAt
 	m.mu.Unlock()
 	if lost {
 		m.log.Event("store_lost", "table", m.table, "ageMs", age.Milliseconds(), "err", err.Error())
@@ -238,7 +245,7 @@
 func (m *Mirror) Age() (time.Duration, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return time.Since(m.freshAt), m.loaded
+	return m.Clock() - m.freshAt, m.loaded
 }
 
 // InTouch reports whether the store serves this process as far as the mirror can
--- a/internal/taskagent/agent.go
+++ b/internal/taskagent/agent.go
@@ -34,6 +34,9 @@
 	// Lease is the length of the leases of tasks, from the last contact with the
 	// owner.
 	Lease time.Duration
+	// Clock is a steady clock above 0 that counts suspensions; nil for one that does
+	// not.
+	Clock func() time.Duration
 }
 
 // Agent is an agent. It is safe for concurrent use.
@@ -58,6 +61,10 @@
 
 // New returns an agent that serves until ctx ends.
 func New(ctx context.Context, o Options) *Agent {
+	if o.Clock == nil {
+		begun := time.Now().Add(-time.Second)
+		o.Clock = func() time.Duration { return time.Since(begun) }
+	}
 	return &Agent{o: o, ctx: ctx, sessions: map[string]*session{}, entries: o.Seeds, reached: time.Now()}
 }
 
--- a/internal/taskagent/orders.go
+++ b/internal/taskagent/orders.go
@@ -23,9 +23,9 @@
 	startTries = 5
 )
 
-// apply carries out what the owner's reply to a call that was sent at a time asks
-// for. The lock is held.
-func (s *session) apply(ctx context.Context, reply *taskrpc.SyncReply, sent time.Time) {
+// apply carries out what the owner's reply to a call that was sent at a time on the
+// agent's clock asks for. The lock is held.
+func (s *session) apply(ctx context.Context, reply *taskrpc.SyncReply, sent time.Duration) {
 	if reply.Noted > s.noted {
 		s.noted = reply.Noted
 		for len(s.ends) > 0 && s.ends[0].Seq <= s.noted {
@@ -63,33 +63,35 @@
 		}
 		r := &localRun{state: taskrpc.RunStarting}
 		s.runs[order.ID] = r
-		go s.start(ctx, order, r, sent)
+		go s.start(ctx, order, r, sent+s.a.o.Lease-startWindow)
 	}
 }
 
-// start carries out an order to start, which is valid for as long as the leases that
-// follow from the call it answers: the owner gives the run up after that, and this
-// process may have been paused meanwhile. An order that was not answered is sent
-// again for the same attempt, which starts nothing twice.
-func (s *session) start(ctx context.Context, order taskrpc.Start, r *localRun, sent time.Time) {
+// start carries out an order to start until it expires on the agent's clock: the
+// owner gives the run up a lease after the call that it answered, and this process
+// may have been paused or suspended meanwhile. An order that was not answered is
+// sent again for the same attempt, which starts nothing twice.
+func (s *session) start(ctx context.Context, order taskrpc.Start, r *localRun, expires time.Duration) {
 	reason := ReasonNoAnswer
 	for range startTries {
 		s.mu.Lock()
-		refuse := ""
+		refuse, now := "", s.a.o.Clock()
 		switch {
 		case r.stop:
 			refuse = ReasonNoAnswer
 		case s.worker.Draining:
 			refuse = ReasonDraining
+		case now > expires:
+			refuse = ReasonLate
 		case r.state != taskrpc.RunStarting || s.gone:
 			s.mu.Unlock()
 			return // listed meanwhile
 		}
 		call := StartCall{
 			ID: order.ID, Payload: order.Payload, Checkpoint: order.Checkpoint, Ticket: order.Ticket, Fence: s.fence,
-			Deadline: min(s.clockNow(time.Now())+startWindow, s.clockNow(sent)+s.a.o.Lease),
+			Deadline: s.workerClock(now) + startWindow,
 		}
-		s.startsSent = time.Now()
+		s.startsSent = now
 		s.mu.Unlock()
 		if refuse != "" {
 			reason = refuse
--- a/internal/taskagent/session.go
+++ b/internal/taskagent/session.go
@@ -63,16 +63,15 @@
 	noted uint64
 	seen  uint64 // highest number of an end that was listed
 	fence uint64 // highest one that the worker confirmed
-	// clock was the worker's clock no later than clockAt.
-	clock   time.Duration
-	clockAt time.Time
+	// clock was the worker's clock no later than clockAt. Times of this kind are on
+	// the agent's clock, 0 for none.
+	clock, clockAt time.Duration
 	// inTouch is when the last call that the owner answered was sent, renewed the
 	// value of it from which the latest lease that was sent counts.
-	inTouch time.Time
-	renewed time.Time
-	open    bool // the last renewal was not answered
+	inTouch, renewed time.Duration
+	open             bool // the last renewal was not answered
 	// startsSent is when the last order to start was sent; it is a short lease.
-	startsSent time.Time
+	startsSent time.Duration
 	listed     bool
 	answered   time.Time // when the worker last answered
 	silent     bool
@@ -90,7 +89,7 @@
 func newSession(a *Agent, w taskrpc.Worker, addr string, seq uint64) *session {
 	return &session{
 		a: a, id: w.ID, incarnation: w.Incarnation, api: a.o.Connect(addr, w.ID), worker: w, seq: seq, beatAt: time.Now(), answered: time.Now(),
-		renewed: time.Now(), // an earlier process of this agent may have renewed leases until now
+		renewed: a.o.Clock(), // an earlier process of this agent may have renewed leases until now
 		runs:    map[workflow.RunID]*localRun{}, over: map[workflow.RunID]time.Time{},
 		dirty: make(chan struct{}, 1), wake: make(chan struct{}, 1), cancel: func() {},
 	}
@@ -283,13 +282,14 @@
 		signal(s.dirty)
 	}
 	if clock > 0 {
-		s.clock, s.clockAt = clock, now
+		s.clock, s.clockAt = clock, s.a.o.Clock()
 	}
 }
 
-// clockNow returns a time that the worker's clock has reached. The lock is held.
-func (s *session) clockNow(t time.Time) time.Duration {
-	passed := t.Sub(s.clockAt)
+// workerClock returns a time that the worker's clock has reached at a time on the
+// agent's clock. The lock is held.
+func (s *session) workerClock(at time.Duration) time.Duration {
+	passed := at - s.clockAt
 	if passed > 0 {
 		passed = time.Duration(float64(passed) * (1 - clockSlow))
 	}
@@ -300,7 +300,7 @@
 // owner was in touch, so that the owner knows when they have run out on a worker
 // that it does not reach. The lock is held.
 func (s *session) leaseEnd() time.Duration {
-	if s.clockAt.IsZero() || s.inTouch.IsZero() {
+	if s.clockAt == 0 || s.inTouch == 0 {
 		return 0
 	}
 	if !s.open {
@@ -308,17 +308,14 @@
 		// answers, it gets no later end than that one has.
 		s.renewed = s.inTouch
 	}
-	return max(0, s.clockNow(s.renewed)+s.a.o.Lease)
+	return max(0, s.workerClock(s.renewed)+s.a.o.Lease)
 }
 
 // lapsed reports whether everything on a silent worker has lost its lease, on
 // the slowest clock. The lock is held.
 func (s *session) lapsed() bool {
-	since := s.renewed
-	if s.startsSent.After(since) {
-		since = s.startsSent
-	}
-	return s.silent && time.Since(since) > time.Duration(float64(s.a.o.Lease)/(1-clockSlow))+lapseSlack
+	since := max(s.renewed, s.startsSent)
+	return s.silent && s.a.o.Clock()-since > time.Duration(float64(s.a.o.Lease)/(1-clockSlow))+lapseSlack
 }
 
 // lapseSlack covers what timers are late.
--- a/internal/taskagent/sync.go
+++ b/internal/taskagent/sync.go
@@ -25,7 +25,7 @@
 
 type syncResult struct {
 	seq    uint64
-	sent   time.Time
+	sent   time.Duration // on the agent's clock
 	target string
 	reply  *taskrpc.SyncReply
 	err    error
@@ -100,7 +100,7 @@
 }
 
 func (s *session) call(ctx context.Context, args *taskrpc.SyncArgs) syncResult {
-	r := syncResult{seq: args.Seq, sent: time.Now(), target: s.a.target(), reply: &taskrpc.SyncReply{}}
+	r := syncResult{seq: args.Seq, sent: s.a.o.Clock(), target: s.a.target(), reply: &taskrpc.SyncReply{}}
 	if r.target == "" {
 		r.err = errors.New("no entry is known")
 		s.a.unreached("", r.err)
@@ -132,9 +132,7 @@
 		return false
 	}
 	s.processed = r.seq
-	if r.sent.After(s.inTouch) {
-		s.inTouch = r.sent
-	}
+	s.inTouch = max(s.inTouch, r.sent)
 	if s.gone {
 		return true
 	}
--- a/internal/taskdaemon/agent.go
+++ b/internal/taskdaemon/agent.go
@@ -23,6 +23,8 @@
 	Log     *eventlog.Log
 	// Caller calls the other processes.
 	Caller taskagent.Caller
+	// Clock is a steady clock that counts suspensions.
+	Clock func() time.Duration
 }
 
 // Agent is a running agent.
@@ -41,7 +43,7 @@
 	a.Agent = taskagent.New(ctx, taskagent.Options{
 		// A restarted process numbers its calls anew.
 		ID: fmt.Sprintf("%s/%d", o.ID, time.Now().UnixNano()), Addr: o.RPCAddr, Caller: o.Caller, Log: o.Log, Seeds: o.Seeds,
-		MoreEntries: func(ctx context.Context) []string { return entriesOf(ctx, o.Store, o.Log) }, Connect: o.Connect, Lease: o.Lease,
+		MoreEntries: func(ctx context.Context) []string { return entriesOf(ctx, o.Store, o.Log) }, Connect: o.Connect, Lease: o.Lease, Clock: o.Clock,
 	})
 	return a
 }
--- a/internal/taskdaemon/entry.go
+++ b/internal/taskdaemon/entry.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"maps"
 	"net"
@@ -13,17 +12,13 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/parsleypier/parsleypier/internal/election"
 	"github.com/parsleypier/parsleypier/internal/eventlog"
 	"github.com/parsleypier/parsleypier/internal/gateway"
 	"github.com/parsleypier/parsleypier/internal/guard"
-	"github.com/parsleypier/parsleypier/internal/retry"
 	"github.com/parsleypier/parsleypier/internal/rowstore"
 	"github.com/parsleypier/parsleypier/internal/taskowner"
 	"github.com/parsleypier/parsleypier/internal/taskplan"
-	"github.com/parsleypier/parsleypier/internal/taskrpc"
 	"github.com/parsleypier/parsleypier/internal/workflow"
 )
 
@@ -34,29 +29,13 @@
 const (
 	// peerTimeout limits a call to another entry. A round trip takes 3 ms.
 	peerTimeout = 400 * time.Millisecond
-	// rowInterval is how often an entry looks after its own row and, as owner,
-	// after those of entries that no longer exist.
-	rowInterval = time.Second
-	// entryGone is the time without an answer after which the owner removes the
-	// row of an entry.
-	entryGone = 10 * time.Second
 	// firstElection is the time in which the entries of a new deployment write
 	// their rows before one of them takes ownership.
 	firstElection = time.Second
-	// handOverAfter is the time after which an owner hands over to a stronger
-	// entry. Most inherited work has been recovered by then.
-	handOverAfter = 3 * time.Second
 	// maxKnowledgeAge is the age of what an owner knows up to which it decides. It
 	// is below the 3 s in which a cancellation has to take effect, and above the
 	// age that a quiet feed of a slow store leads to.
 	maxKnowledgeAge = 2500 * time.Millisecond
-	// giveUpAge is the age from which an owner leaves the row to others.
-	giveUpAge = 5 * time.Second
-	// answeredLately is the age of an entry's last answer up to which it counts as
-	// able to take over; it is asked every rowInterval.
-	answeredLately = 2 * rowInterval
-	// entryCalls bounds the calls to other entries at a time.
-	entryCalls = 8
 	// configRetry is how often a process without a configuration asks others.
 	configRetry = 300 * time.Millisecond
 	// feedPause is small beside the 400 ms and more after which clients ask again.
@@ -66,17 +45,6 @@
 	unreadyAfter = 2500 * time.Millisecond
 )
 
-// contact is when another entry was first asked and last answered.
-type contact struct{ first, answered time.Time }
-
-// silent returns the time without an answer.
-func (c contact) silent() time.Duration {
-	if c.answered.After(c.first) {
-		return time.Since(c.answered)
-	}
-	return time.Since(c.first)
-}
-
 // EntryOptions configure an Entry.
 type EntryOptions struct {
 	ID, RPCAddr string
@@ -119,10 +87,12 @@
 
 	mu    sync.Mutex
 	owner *taskowner.Owner
-	// acquired is when this process became owner, informed when its peers last told
-	// it all that they know.
-	acquired, informed time.Time
-	seeds              []string
+	// acquired is when this process became owner.
+	acquired time.Time
+	// informed is when its peers last told it all that they know, on Clock; 0 if they
+	// never did.
+	informed time.Duration
+	seeds    []string
 	// contacts is when each other entry was first asked and last answered, for the
 	// owner.
 	contacts map[string]contact
@@ -138,7 +108,7 @@
 	e.failover = &rowstore.Failover{Direct: o.Exchange, Peers: e.exchanges, Log: o.Log}
 	e.store = o.OpenStore(e.failover.Do)
 	e.rows = rowstore.NewMirror(e.store, Table, o.Log, e.observe)
-	e.rows.Pace = e.feedPause
+	e.rows.Pace, e.rows.Clock = e.feedPause, o.Clock
 	e.operator = rowstore.NewMirror(e.store, o.OperatorTable, o.Log, e.observeOperator)
 	e.Gateway = gateway.New(gateway.Options{Store: e.store, Mirror: e.rows, Table: Table, Log: o.Log, UnixMillis: unixMillis})
 	e.elector = election.New(election.Options{
@@ -286,7 +256,10 @@
 	age, _ := e.rows.Age()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return min(age, time.Since(e.informed))
+	if e.informed == 0 {
+		return age
+	}
+	return min(age, e.o.Clock()-e.informed)
 }
 
 // mayDecide reports whether this entry owns and knows enough to decide. An owner
@@ -330,114 +303,3 @@
 	}
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
-
-// keepRows keeps the entry's own row and, as owner, removes those of entries
-// that are gone and hands over to a stronger one.
-func (e *Entry) keepRows(ctx context.Context) {
-	if e.rows.WaitFor(ctx, 0) != nil {
-		return // stopped
-	}
-	for {
-		if !e.Leaving() {
-			e.keepRow(ctx)
-			if e.currentOwner() != nil {
-				e.removeGone(ctx)
-				e.handOver(ctx)
-			}
-		}
-		if !retry.Sleep(ctx, retry.Jitter(rowInterval)) {
-			return
-		}
-	}
-}
-
-func (e *Entry) keepRow(ctx context.Context) {
-	row, ok := e.rows.Get(workflow.EntryPrefix + e.o.ID)
-	value, err := json.Marshal(entryRow{Addr: e.o.RPCAddr, Zone: e.o.Zone, MilliCores: e.o.MilliCores})
-	if err == nil && (!ok || string(row.Value) != string(value)) {
-		e.writeRow(ctx, row.Version, value)
-	}
-}
-
-// handOver releases the ownership if a stronger candidate has answered just now,
-// and this process has had time to recover what it inherited, or if this process
-// can renew its row and does not learn of changes.
-func (e *Entry) handOver(ctx context.Context) {
-	e.mu.Lock()
-	settled := time.Since(e.acquired) > handOverAfter
-	contacts := maps.Clone(e.contacts)
-	e.mu.Unlock()
-	answers := func(id string) bool { return time.Since(contacts[id].answered) < answeredLately }
-	age := e.knowledgeAge()
-	giveUp := settled && age > giveUpAge
-	if !e.elector.HasAuthority() || !giveUp && !(settled && e.rows.InTouch() && e.entries.stronger(e.o.ID, answers)) {
-		return
-	}
-	e.o.Log.Event("owner_steps_down", "knowledgeAgeMs", age.Milliseconds(), "place", e.entries.place(e.o.ID))
-	if err := e.elector.StepDown(ctx); err != nil {
-		e.o.Log.Event("release_failed", "err", err.Error())
-	}
-}
-
-func (e *Entry) writeRow(ctx context.Context, version uint64, value []byte) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout*2)
-	defer cancel()
-	key := workflow.EntryPrefix + e.o.ID
-	version, err := e.store.Commit(ctx, rowstore.Txn{
-		Checks: []rowstore.Check{{Table: Table, Key: key, Version: version}},
-		Puts:   []rowstore.Put{{Table: Table, Key: key, Value: value}},
-	})
-	if err != nil {
-		e.o.Log.Event("entry_row_not_written", "err", err.Error())
-		return
-	}
-	e.rows.Note(rowstore.Row{Table: Table, Key: key, Value: value, Version: version})
-}
-
-func (e *Entry) removeGone(ctx context.Context) {
-	var calls errgroup.Group
-	calls.SetLimit(entryCalls)
-	for id, addr := range e.peers() {
-		calls.Go(func() error {
-			e.removeIfGone(ctx, id, addr)
-			return nil
-		})
-	}
-	// The calls return no error.
-	_ = calls.Wait()
-}
-
-func (e *Entry) removeIfGone(ctx context.Context, id, addr string) {
-	limited, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	// A promise for epoch 0 binds nobody.
-	err := e.o.Caller.Call(limited, addr, taskrpc.MethodConfirm, &taskrpc.ConfirmArgs{}, &taskrpc.ConfirmReply{})
-	e.mu.Lock()
-	c := e.contacts[id]
-	if c.first.IsZero() {
-		c.first = time.Now()
-	}
-	if err == nil {
-		c.answered = time.Now()
-	}
-	e.contacts[id] = c
-	e.mu.Unlock()
-	if silent := c.silent(); silent > entryGone {
-		if row, ok := e.rows.Get(workflow.EntryPrefix + id); ok {
-			e.o.Log.Event("entry_removed", "entry", id, "addr", addr, "silentMs", silent.Milliseconds())
-			e.deleteRow(ctx, row)
-		}
-	}
-}
-
-func (e *Entry) deleteRow(ctx context.Context, row rowstore.Row) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout*2)
-	defer cancel()
-	_, err := e.store.Commit(ctx, rowstore.Txn{
-		Checks:  []rowstore.Check{{Table: Table, Key: row.Key, Version: row.Version}},
-		Deletes: []rowstore.Ref{{Table: Table, Key: row.Key}},
-	})
-	if err != nil {
-		e.o.Log.Event("entry_row_not_removed", "key", row.Key, "err", err.Error())
-	}
-}
--- a/internal/taskdaemon/peer.go
+++ b/internal/taskdaemon/peer.go
@@ -4,7 +4,6 @@
 	"context"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/parsleypier/parsleypier/internal/guard"
 	"github.com/parsleypier/parsleypier/internal/retry"
@@ -44,7 +43,7 @@
 	var wg sync.WaitGroup
 	var refused atomic.Bool
 	var promised atomic.Int64
-	peers, asked := e.peers(), time.Now()
+	peers, asked := e.peers(), e.o.Clock()
 	for _, addr := range peers {
 		wg.Go(func() {
 			reply := &taskrpc.ConfirmReply{}
