--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -31,6 +31,8 @@
 	dropped atomic.Int64
 	// Dropped counts all lines that were left out.
 	Dropped atomic.Int64
+	// unwritten counts the lines that are queued or being written.
+	unwritten atomic.Int64
 
 	mu     sync.Mutex
 	closed bool
@@ -83,6 +85,7 @@
 	}
 	select {
 	case l.queue <- bytes.Clone(line):
+		l.unwritten.Add(1)
 	default:
 		l.drop()
 	}
@@ -96,7 +99,9 @@
 func (l *Log) write(out io.Writer) {
 	for line := range l.queue {
 		// A failed write loses the line: there is no other place to report it.
-		if _, err := out.Write(line); err != nil {
+		_, err := out.Write(line)
+		l.unwritten.Add(-1)
+		if err != nil {
 			l.drop()
 			continue
 		}
@@ -137,7 +142,7 @@
 
 // Flush waits until the queued lines are written, for up to d.
 func (l *Log) Flush(d time.Duration) {
-	for deadline := time.Now().Add(d); len(l.queue) > 0 && time.Now().Before(deadline); {
+	for deadline := time.Now().Add(d); l.unwritten.Load() > 0 && time.Now().Before(deadline); {
 		time.Sleep(flushPoll)
 	}
 }
