--- a/internal/taskdaemon/entries.go
+++ b/internal/taskdaemon/entries.go
@@ -71,13 +71,6 @@
 	}
 }
 
-func (s *entrySet) get(id string) (entryRow, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	row, ok := s.rows[id]
-	return row, ok
-}
-
 // others returns the RPC addresses of all entries but one by ID. An entry that
 // replaced it at its address is left out as well.
 func (s *entrySet) others(id, addr string) map[string]string {
