--- a/internal/scheduler/machine_test.go
+++ b/internal/scheduler/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -225,20 +226,44 @@
 
 // Guards against plans that break a rule in some reachable state, and against
 // reclaims that never end.
-func TestStateMachine(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		m := newMachine(t)
-		t.Repeat(map[string]func(*rapid.T){
-			"arrive": m.arrive,
-			"finish": m.finish,
-			"worker": m.worker,
-			"manifest": func(t *rapid.T) {
-				if rapid.IntRange(0, 4).Draw(t, "change") == 0 {
-					m.manifest(t)
+func TestStateMachine(t *testing.T) { rapid.Check(t, playMachine) }
+
+// failedMachines are seeds of rapid on which a plan has broken a rule:
+//   - 17466224753632383381: a borrowed placement of a gang in one rack, beside a
+//     guaranteed one, leaves room in which the unused guarantees no longer pack. Open.
+var failedMachines = []string{"17466224753632383381"}
+
+// Guards against the faults of plans that TestStateMachine has found before.
+func TestStateMachineSeeds(t *testing.T) {
+	const name = "rapid.seed"
+	before := flag.Lookup(name).Value.String()
+	for _, seed := range failedMachines {
+		t.Run("seed-"+seed, func(t *testing.T) {
+			if err := flag.Set(name, seed); err != nil {
+				t.Fatal(err)
+			}
+			defer func() {
+				if err := flag.Set(name, before); err != nil {
+					t.Error(err)
 				}
-			},
-			"plan": m.step,
-			"":     func(*rapid.T) {},
+			}()
+			rapid.Check(t, playMachine)
 		})
+	}
+}
+
+func playMachine(t *rapid.T) {
+	m := newMachine(t)
+	t.Repeat(map[string]func(*rapid.T){
+		"arrive": m.arrive,
+		"finish": m.finish,
+		"worker": m.worker,
+		"manifest": func(t *rapid.T) {
+			if rapid.IntRange(0, 4).Draw(t, "change") == 0 {
+				m.manifest(t)
+			}
+		},
+		"plan": m.step,
+		"":     func(*rapid.T) {},
 	})
 }
