Find a store that is back by the submissions that arrive

Cause: while the store is lost, submissions are refused until the feed notices that it answers again, 0.3 to 0.5 s later, and a failed call to one partition makes calls to all others fail at once.

Change: a submission to a lost store reads its partition once, directly, for 150 ms at most and shared by concurrent submissions; if the store answers, the job is written. Calls fail at once by scope: the feed, and each partition.

TestSubmissionFindsStoreBack, TestFailoverKeepsOtherScopesUsable and TestFailoverProbeFindsStoreBack fail before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/parsleypier/parsleypier/internal/eventlog"
 	"github.com/parsleypier/parsleypier/internal/retry"
 	"github.com/parsleypier/parsleypier/internal/rowstore"
@@ -22,6 +24,9 @@
 	// outageRetryAfter is the Retry-After sent to clients while the store is
 	// unavailable. Clients time out after about 3 s; outages last several seconds.
 	outageRetryAfter = time.Second
+	// probeTimeout limits the call that finds out whether a lost store answers again,
+	// and so how long a refusal takes while it does not.
+	probeTimeout = 150 * time.Millisecond
 )
 
 // Options configure a Gateway.
@@ -39,6 +44,8 @@
 type Gateway struct {
 	opts Options
 
+	probes singleflight.Group
+
 	mu   sync.Mutex
 	jobs map[string]*jobState
 }
@@ -154,7 +161,7 @@
 	if queue, _, known := g.cachedState(id); known {
 		return g.checkDuplicate(q, queue, id)
 	}
-	if g.opts.Mirror.StoreLost() {
+	if g.opts.Mirror.StoreLost() && !g.storeAnswers(ctx, id) {
 		return rowstore.Unavailable(verdict.NotRun, "the store is out of reach").WithRetryAfter(outageRetryAfter)
 	}
 	rec := workflow.Record{
@@ -189,6 +196,20 @@
 	return nil
 }
 
+// storeAnswers reports whether the store answers again although it was lost. It reads the
+// job's row, which is in the partition that a submission writes to. Concurrent callers
+// share one call.
+func (g *Gateway) storeAnswers(ctx context.Context, id string) bool {
+	key := workflow.RecordPrefix + id
+	_, err, _ := g.probes.Do(workflow.Partition(key), func() (any, error) {
+		ctx, cancel := context.WithTimeout(rowstore.Probe(context.WithoutCancel(ctx)), probeTimeout)
+		defer cancel()
+		_, _, err := g.opts.Store.Get(ctx, g.opts.Table, key)
+		return nil, err
+	})
+	return err == nil
+}
+
 // checkDuplicate returns an error if a job that is already stored belongs to a queue
 // other than q.
 func (g *Gateway) checkDuplicate(q *Queue, queue, id string) error {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -105,6 +106,29 @@
 	})
 }
 
+// Guards against submissions that are refused although the store answers again: the feed
+// notices up to 0.5 s later, which is most of what is left to clients that gave up 3 s
+// after their first try (kalstaly-pier, trouble-3, an outage of 4.2 s).
+func TestSubmissionFindsStoreBack(t *testing.T) {
+	withTwoGateways(t, func(ctx context.Context, store *rowstorestub.Table, a, _ *Gateway) {
+		for i, outage := range []rowstorestub.Faults{{Down: true}, {Silent: true}} {
+			id := fmt.Sprintf("%016x", i)
+			store.SetFaults(outage)
+			time.Sleep(5 * time.Second)
+			start := time.Now()
+			err := a.Submit(withTimeout(ctx, 3*time.Second), testQueue, "x", id, testSpec)
+			if verdict.Of(err) != verdict.NotRun || time.Since(start) > 200*time.Millisecond {
+				t.Fatalf("in the outage: %v after %v, want NotRun within 200 ms", err, time.Since(start))
+			}
+			store.SetFaults(rowstorestub.Faults{})
+			if err := a.Submit(withTimeout(ctx, 3*time.Second), testQueue, "x", id, testSpec); err != nil {
+				t.Errorf("right after the outage: %v", err)
+			}
+			time.Sleep(5 * time.Second)
+		}
+	})
+}
+
 // Guards against a request that blocks until the client's deadline when the outcome
 // of a write is unknown and the store becomes unavailable.
 func TestSubmitStopsRetryingWhenStoreIsLost(t *testing.T) {
--- a/internal/rowstore/failover.go
+++ b/internal/rowstore/failover.go
@@ -18,6 +18,9 @@
 	Body         []byte
 	// Write is set if the call may change rows.
 	Write bool
+	// Scope names the part of the store that the call needs. A store may serve some
+	// parts and not others.
+	Scope string
 	// Wait is how long the store may hold the request before it answers, in addition
 	// to its normal latency.
 	Wait time.Duration
@@ -41,9 +44,9 @@
 	// directRetryDelay is the minimum time for which calls go to peers first after a
 	// direct call has failed; with jitter it is up to twice as long.
 	directRetryDelay = 700 * time.Millisecond
-	// outageRetryDelay is the minimum time for which calls fail immediately after a
-	// call has failed both directly and through peers; with jitter it is up to twice
-	// as long.
+	// outageRetryDelay is the minimum time for which the calls of a scope fail
+	// immediately after one has failed both directly and through peers; with jitter it
+	// is up to twice as long.
 	outageRetryDelay = 250 * time.Millisecond
 	// maxPeersPerCall limits the peers tried for one call, and so the load that
 	// retries cause in an outage.
@@ -61,10 +64,10 @@
 	Log   *eventlog.Log
 
 	mu              sync.Mutex
-	peersFirstUntil time.Time // calls try peers before the direct connection until then
-	failFastUntil   time.Time // calls fail immediately until then
-	directRefused   bool      // set by a failed direct call, cleared by a successful one
-	nextPeer        int       // index of the peer to try first
+	peersFirstUntil time.Time            // calls try peers before the direct connection until then
+	failFastUntil   map[string]time.Time // by scope; calls fail immediately until then
+	directRefused   bool                 // set by a failed direct call, cleared by a successful one
+	nextPeer        int                  // index of the peer to try first
 	// lastDirectRead is when a direct read last succeeded.
 	lastDirectRead time.Time
 }
@@ -87,8 +90,11 @@
 func (f *Failover) Do(ctx context.Context, c Call) (Answer, error) {
 	f.mu.Lock()
 	now := time.Now()
-	if now.Before(f.failFastUntil) {
-		wait := f.failFastUntil.Sub(now)
+	if isProbe(ctx) {
+		f.mu.Unlock()
+		return f.probe(ctx, c)
+	}
+	if wait := f.failFastUntil[c.Scope].Sub(now); wait > 0 {
 		f.mu.Unlock()
 		return Answer{}, Unavailable(verdict.NotRun, "the store is out of reach").WithRetryAfter(wait)
 	}
@@ -134,12 +140,37 @@
 	}
 	if ctx.Err() == nil {
 		f.mu.Lock()
-		f.failFastUntil = time.Now().Add(retry.Jitter(2 * outageRetryDelay))
+		if f.failFastUntil == nil {
+			f.failFastUntil = map[string]time.Time{}
+		}
+		f.failFastUntil[c.Scope] = time.Now().Add(retry.Jitter(2 * outageRetryDelay))
 		f.mu.Unlock()
 	}
 	return Answer{}, callError(outcome, lastErr)
 }
 
+// probeKey is the context key that marks calls as probes.
+type probeKey struct{}
+
+// Probe returns a context whose calls are sent once, directly, even while other calls
+// fail immediately. It serves to find out whether the store answers again.
+func Probe(ctx context.Context) context.Context { return context.WithValue(ctx, probeKey{}, true) }
+
+func isProbe(ctx context.Context) bool { return ctx.Value(probeKey{}) != nil }
+
+// probe sends a call once. A failure does not change how other calls are sent.
+func (f *Failover) probe(ctx context.Context, c Call) (Answer, error) {
+	a, err := f.Direct(ctx, c)
+	if err != nil {
+		return Answer{}, err
+	}
+	if a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests {
+		return Answer{}, Unavailable(verdict.NotRun, "%s: status %d", c.Path, a.Status)
+	}
+	f.recordDirectSuccess(c)
+	return a, nil
+}
+
 // callError returns the error of a failed call, which is that of the last attempt
 // with the verdict of all attempts.
 func callError(v verdict.Verdict, err error) error {
@@ -185,7 +216,8 @@
 		f.lastDirectRead = time.Now()
 	}
 	regained := f.directRefused
-	f.directRefused, f.peersFirstUntil, f.failFastUntil = false, time.Time{}, time.Time{}
+	f.directRefused, f.peersFirstUntil = false, time.Time{}
+	delete(f.failFastUntil, c.Scope)
 	f.mu.Unlock()
 	if regained {
 		f.Log.Event("store_direct_regained")
--- a/internal/rowstore/rowstore_test.go
+++ b/internal/rowstore/rowstore_test.go
@@ -204,6 +204,63 @@
 	})
 }
 
+// Guards against an outage of one part of the store that makes calls to the other parts
+// fail immediately (kalstaly-pier, trouble-2).
+func TestFailoverKeepsOtherScopesUsable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &rowstore.Failover{
+			Direct: func(_ context.Context, c rowstore.Call) (rowstore.Answer, error) {
+				if c.Scope == "down" {
+					return rowstore.Answer{}, rowstore.Unavailable(verdict.MayHaveRun, "connection reset")
+				}
+				return rowstore.Answer{Status: http.StatusOK}, nil
+			},
+			Peers: func() []rowstore.CallFunc { return nil }, Log: eventlog.Discard(),
+		}
+		for range 10 {
+			if _, err := f.Do(t.Context(), rowstore.Call{Write: true, Scope: "down"}); err == nil {
+				t.Fatal("a call to the part that is down succeeds")
+			}
+			if _, err := f.Do(t.Context(), rowstore.Call{Write: true, Scope: "up"}); err != nil {
+				t.Fatalf("a call to another part: %v", err)
+			}
+		}
+	})
+}
+
+// Guards against a store that is back and counts as lost until the next regular call:
+// a probe reaches it while other calls still fail immediately, and ends that.
+func TestFailoverProbeFindsStoreBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		status := http.StatusServiceUnavailable
+		f := &rowstore.Failover{
+			Direct: func(context.Context, rowstore.Call) (rowstore.Answer, error) {
+				return rowstore.Answer{Status: status}, nil
+			},
+			Peers: func() []rowstore.CallFunc { return nil }, Log: eventlog.Discard(),
+		}
+		call := rowstore.Call{Scope: "a"}
+		for range 2 {
+			if _, err := f.Do(t.Context(), call); err == nil {
+				t.Fatal("a call succeeds in an outage")
+			}
+		}
+		if _, err := f.Do(rowstore.Probe(t.Context()), call); verdict.Of(err) != verdict.NotRun {
+			t.Fatalf("probe in an outage: %v", err)
+		}
+		status = http.StatusOK
+		if _, err := f.Do(t.Context(), call); err == nil {
+			t.Fatal("a call does not fail immediately after an outage was found")
+		}
+		if _, err := f.Do(rowstore.Probe(t.Context()), call); err != nil {
+			t.Fatalf("probe after the outage: %v", err)
+		}
+		if _, err := f.Do(t.Context(), call); err != nil {
+			t.Fatalf("call after a successful probe: %v", err)
+		}
+	})
+}
+
 // Guards against a transaction that took effect, is sent again after a lost answer,
 // and is then reported as a conflict.
 func TestRepeatedTransactionSucceeds(t *testing.T) {
