End a shutdown without an error beside unused or long requests

Leave tried to release the ownership until the whole drain time was over, so that no time was left for open requests; http.Server.Shutdown also waits for connections on which nothing was sent.

TestShutdownAnswersLongRequests and TestShutdownIgnoresUnusedConnections fail before.

--- a/cmd/parsleypierd/hosted.go
+++ b/cmd/parsleypierd/hosted.go
@@ -8,12 +8,10 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"sync"
 	"syscall"
 	"time"
 
 	"github.com/parsleypier/parsleypier/internal/boottime"
-	"github.com/parsleypier/parsleypier/internal/drainlistener"
 	"github.com/parsleypier/parsleypier/internal/eventlog"
 	"github.com/parsleypier/parsleypier/internal/rowstore"
 	"github.com/parsleypier/parsleypier/internal/rpc"
@@ -116,7 +114,7 @@
 		{Addr: s.ReadinessAddr, Handler: platform.ReadinessHandler(e.Ready), ReadHeaderTimeout: readHeaderTimeout},
 		{Addr: s.MetricsAddr, Handler: metrics, ReadHeaderTimeout: readHeaderTimeout},
 	}
-	listeners, err := listen(servers, log)
+	running, err := listen(servers, log)
 	if err != nil {
 		return err
 	}
@@ -128,9 +126,12 @@
 	started := time.Now()
 	drainCtx, cancel := context.WithTimeout(runCtx, time.Duration(drainShare*float64(s.Bounds.ShutdownGrace)))
 	defer cancel()
-	e.Leave(drainCtx)
-	time.Sleep(time.Duration(acceptShare*float64(s.Bounds.ShutdownGrace)) - time.Since(started))
-	err = shutdown(drainCtx, servers, listeners)
+	accepting := time.Duration(acceptShare * float64(s.Bounds.ShutdownGrace))
+	leaveCtx, cancelLeave := context.WithTimeout(drainCtx, accepting)
+	defer cancelLeave()
+	e.Leave(leaveCtx)
+	time.Sleep(accepting - time.Since(started))
+	err = shutdown(drainCtx, running)
 	server.Close(drainCtx)
 	pool.Close()
 	return err
@@ -152,7 +153,7 @@
 		{Addr: s.WorkerAddr, Handler: &platform.HeartbeatHandler{Agent: a.Agent, Pool: s.LocalPool}, ReadHeaderTimeout: readHeaderTimeout},
 		{Addr: s.MetricsAddr, Handler: metrics, ReadHeaderTimeout: readHeaderTimeout},
 	}
-	listeners, err := listen(servers, log)
+	running, err := listen(servers, log)
 	if err != nil {
 		return err
 	}
@@ -163,7 +164,7 @@
 	defer cancel()
 	server.Close(shutdownCtx)
 	pool.Close()
-	return shutdown(shutdownCtx, servers, listeners)
+	return shutdown(shutdownCtx, running)
 }
 
 // serveRPC starts the RPC server for the system's other processes.
@@ -179,31 +180,19 @@
 }
 
 // listen opens the addresses of the servers and starts to serve them.
-func listen(servers []*http.Server, log *eventlog.Log) ([]*drainlistener.Listener, error) {
-	listeners := make([]*drainlistener.Listener, len(servers))
+func listen(servers []*http.Server, log *eventlog.Log) ([]*drainingServer, error) {
+	running := make([]*drainingServer, len(servers))
 	for i, server := range servers {
 		l, err := net.Listen("tcp", server.Addr)
 		if err != nil {
 			return nil, fmt.Errorf("listen on %s: %w", server.Addr, err)
 		}
-		listeners[i] = drainlistener.New(l)
+		running[i] = newDrainingServer(server, l)
 		go func() {
-			if err := server.Serve(listeners[i]); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			if err := server.Serve(running[i].listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				log.Event("listener_lost", "addr", server.Addr, "err", err.Error())
 			}
 		}()
 	}
-	return listeners, nil
-}
-
-// shutdown waits for the requests that have been sent on open connections and
-// closes all connections.
-func shutdown(ctx context.Context, servers []*http.Server, listeners []*drainlistener.Listener) error {
-	var wg sync.WaitGroup
-	errs := make([]error, len(servers))
-	for i, server := range servers {
-		wg.Go(func() { errs[i] = errors.Join(listeners[i].Drain(ctx), server.Shutdown(ctx)) })
-	}
-	wg.Wait()
-	return errors.Join(errs...)
+	return running, nil
 }
