Tell agents which workers a new owner expects

Cause: a new owner starts nothing that it inherited until each worker with a row has reported or its leases are over. After a restart of the agents alone, running workers were reported only with their next heartbeat.

Change: the call that announces the owner names the workers of that agent which have not reported. An agent that does not know such a worker opens a session from the row's description. A worker that still serves is fenced and reported at once; it gets no starts until its heartbeat. On other machines and for silent workers the leases decide as before. The log entry job_seen gains the terms and the shape of the job.

--- a/internal/workflowagent/agent.go
+++ b/internal/workflowagent/agent.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -88,11 +89,9 @@
 		if old != nil {
 			old.markGone("a newer incarnation has reported")
 		}
-		s := newSession(a, w, addr, seq)
-		a.sessions[w.ID] = s
+		a.startSession(w, addr, seq)
 		a.opts.Log.Event("worker_found", "worker", w.ID, "incarnation", w.Incarnation, "addr", addr, "draining", w.Draining,
 			"cpuMilli", w.Capacity.CPUMilli, "gpus", w.Capacity.GPUs, "rack", w.Rack)
-		a.wg.Go(func() { s.run(a.ctx) })
 	case old.incarnation == w.Incarnation:
 		old.heartbeat(w, seq)
 	}
@@ -228,16 +227,50 @@
 	}
 }
 
-// OwnerChanged handles the call of a new owner. It returns the highest epoch seen.
-func (a *Agent) OwnerChanged(owner string, epoch uint64) uint64 {
+// OwnerChanged handles the call of a new owner, which awaits reports on the given workers.
+// It returns the highest epoch seen.
+func (a *Agent) OwnerChanged(owner string, epoch uint64, workers []workflowrpc.Worker) uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if epoch > a.highestEpoch {
 		a.setOwner(owner, epoch)
 	}
+	if epoch == a.highestEpoch {
+		for _, w := range workers {
+			a.checkWorker(w)
+		}
+	}
 	return a.highestEpoch
 }
 
+// checkWorker starts a session for a worker that this process does not know, which the
+// owner expects on this machine. The session finds out whether the worker still serves,
+// before its next heartbeat, or has ended and will send none. a.mu must be held.
+func (a *Agent) checkWorker(w workflowrpc.Worker) {
+	if a.sessions[w.ID] != nil || !sameHost(w.Addr, a.opts.Addr) || a.ctx.Err() != nil {
+		return
+	}
+	w.Unconfirmed, w.Draining, w.Gone = true, false, false
+	a.opts.Log.Event("worker_expected", "worker", w.ID, "incarnation", w.Incarnation, "addr", w.Addr)
+	a.startSession(w, w.Addr, 0)
+}
+
+// sameHost reports whether two addresses are on one machine. Only then does a refused
+// connection show that no process listens.
+func sameHost(a, b string) bool {
+	hostA, _, errA := net.SplitHostPort(a)
+	hostB, _, errB := net.SplitHostPort(b)
+	return errA == nil && errB == nil && hostA == hostB
+}
+
+// startSession starts a session for an incarnation of a worker that serves at addr. a.mu
+// must be held.
+func (a *Agent) startSession(w workflowrpc.Worker, addr string, seq uint64) {
+	s := newSession(a, w, addr, seq)
+	a.sessions[w.ID] = s
+	a.wg.Go(func() { s.run(a.ctx) })
+}
+
 func (a *Agent) currentEntriesVersion() uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -278,6 +311,6 @@
 // OwnerChanged tells the agent of a new owner. The reply has the highest epoch that
 // the agent has seen.
 func (s *Service) OwnerChanged(args *workflowrpc.OwnerArgs, reply *workflowrpc.OwnerReply) error {
-	reply.Epoch = s.Agent.OwnerChanged(args.Owner, args.Epoch)
+	reply.Epoch = s.Agent.OwnerChanged(args.Owner, args.Epoch, args.Workers)
 	return nil
 }
--- a/internal/workflowagent/session.go
+++ b/internal/workflowagent/session.go
@@ -146,7 +146,7 @@
 		return
 	}
 	s.heartbeatSeq, s.heartbeatAt = seq, time.Now()
-	changed := s.worker.Draining != w.Draining || s.worker.Capacity != w.Capacity || !slices.Equal(s.worker.Labels, w.Labels)
+	changed := s.worker.Unconfirmed || s.worker.Draining != w.Draining || s.worker.Capacity != w.Capacity || !slices.Equal(s.worker.Labels, w.Labels)
 	if s.worker.Draining != w.Draining {
 		s.agent.opts.Log.Event("worker_draining", "worker", s.id, "draining", w.Draining, "heartbeat", seq, "remainingMs", w.Remaining.Milliseconds())
 	}
--- a/internal/workflowowner/owner.go
+++ b/internal/workflowowner/owner.go
@@ -26,6 +26,7 @@
 	"github.com/parsleypier/parsleypier/internal/rpc"
 	"github.com/parsleypier/parsleypier/internal/telemetry"
 	"github.com/parsleypier/parsleypier/internal/workflow"
+	"github.com/parsleypier/parsleypier/internal/workflowrpc"
 	"github.com/parsleypier/parsleypier/internal/workflowscheduler"
 )
 
@@ -113,7 +114,10 @@
 	gangStartShare     = 0.6
 	announceTimeout    = 500 * time.Millisecond
 	reannounceInterval = 700 * time.Millisecond
-	loadReportInterval = time.Second
+	// awaitedReannounceInterval applies while inherited jobs wait for the reports of
+	// agents.
+	awaitedReannounceInterval = 250 * time.Millisecond
+	loadReportInterval        = time.Second
 )
 
 // declaredPrior is the prior for run times given the declared ones. Users call these a
@@ -206,16 +210,16 @@
 	}
 	o.loaded = true
 	expected := 0
-	var addrs []string
 	for _, w := range o.workers {
 		if w.awaitingReport {
 			expected++
-			addrs = append(addrs, w.addr)
 		}
 	}
+	o.lastReannounce = time.Now()
+	agents := o.silentAgents()
 	o.mu.Unlock()
 	o.opts.Log.Event("owner_loaded", "epoch", o.opts.Epoch, "version", o.opts.Version, "jobs", len(o.jobs), "workersExpected", expected)
-	o.announce(addrs)
+	o.announce(agents)
 	signal(o.wakeDecide)
 }
 
@@ -283,11 +287,41 @@
 	mean := o.queueWork[rec.Queue]
 	o.queueWork[rec.Queue] = average{mean.sum + o.declaredWork(j), mean.n + 1}
 	if !j.progress.State.Final() {
-		o.opts.Log.Event("job_seen", "job", id, "queue", rec.Queue, "account", rec.Account, "steps", len(rec.Spec.Steps),
-			"version", r.Version, "inherited", j.inherited, "cancelled", j.cancelled)
+		o.logJobSeen(j)
 	}
 }
 
+// stepShape is what the log says of a step of a job.
+type stepShape struct {
+	Tasks      int   `json:"tasks"`
+	CPUMilli   int   `json:"cpuMilli"`
+	GPUs       int   `json:"gpus"`
+	Gang       bool  `json:"gang,omitempty"`
+	SameRack   bool  `json:"sameRack,omitempty"`
+	Checkpoint bool  `json:"checkpoint,omitempty"`
+	After      []int `json:"after,omitempty"`
+	DeclaredMs int64 `json:"declaredMs"`
+}
+
+// maxLoggedSteps limits the steps of a job in the log.
+const maxLoggedSteps = 16
+
+// logJobSeen logs a job with its terms and its shape, from which "parsleypier logs"
+// derives when the job was due and what it was worth.
+func (o *Owner) logJobSeen(j *job) {
+	steps := j.record.Spec.Steps
+	shape := make([]stepShape, 0, min(len(steps), maxLoggedSteps))
+	for i := range steps[:min(len(steps), maxLoggedSteps)] {
+		s := &steps[i]
+		shape = append(shape, stepShape{s.Tasks, s.Need.CPUMilli, s.Need.GPUs, s.Gang, s.SameRack, s.Checkpoint, s.After, s.Estimate.Duration().Milliseconds()})
+	}
+	terms := o.terms(j)
+	value, _, path := o.jobValue(j, 0)
+	o.opts.Log.Event("job_seen", "job", j.id, "queue", j.record.Queue, "account", j.record.Account, "steps", len(steps),
+		"version", j.recordVersion, "inherited", j.inherited, "cancelled", j.cancelled, "acceptedAtMs", j.record.AcceptedAt,
+		"priority", terms.Priority, "stretch", terms.Stretch, "slackMs", terms.Slack.Duration().Milliseconds(), "worth", value.Worth, "pathMs", path.Milliseconds(), "shape", shape)
+}
+
 func (o *Owner) observeProgress(id string, r rowstore.Row) {
 	j := o.jobs[id]
 	if r.Deleted {
@@ -323,6 +357,13 @@
 	// Listens is the address of the worker itself.
 	Listens     string `json:"listens"`
 	Incarnation int64  `json:"incarnation"`
+	// The description of the worker when the row was written. A later owner needs it for
+	// a worker whose agent has restarted and does not know the worker yet.
+	Pool     string             `json:"pool,omitempty"`
+	Zone     string             `json:"zone,omitempty"`
+	Rack     string             `json:"rack,omitempty"`
+	Labels   []string           `json:"labels,omitempty"`
+	Capacity workflow.Resources `json:"capacity,omitzero"`
 }
 
 func (o *Owner) observeWorker(id string, r rowstore.Row) {
@@ -340,7 +381,8 @@
 	}
 	if w == nil {
 		w = newWorker(id)
-		w.incarnation, w.addr, w.lastReply, w.info.Addr = row.Incarnation, row.Addr, time.Now(), row.Listens
+		w.incarnation, w.addr, w.lastReply = row.Incarnation, row.Addr, time.Now()
+		w.info = workflowrpc.Worker{Addr: row.Listens, Pool: row.Pool, Zone: row.Zone, Rack: row.Rack, Labels: row.Labels, Capacity: row.Capacity}
 		// A worker that an earlier owner stored may have unknown runs.
 		w.awaitingReport = true
 		o.workers[id] = w
--- a/internal/workflowowner/owner_test.go
+++ b/internal/workflowowner/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,13 +25,30 @@
 	testJob   = "5c0e7a21d94b36f8"
 )
 
-// failingCaller fails all RPC calls.
-type failingCaller struct{}
+// failingCaller fails all RPC calls. It records the workers of which agents are told.
+type failingCaller struct {
+	mu   sync.Mutex
+	told map[string][]workflowrpc.Worker // by address, the last call
+}
 
-func (failingCaller) Call(context.Context, string, string, rpc.RequestMessage, rpc.ReplyMessage) error {
+func (c *failingCaller) Call(_ context.Context, addr, _ string, args rpc.RequestMessage, _ rpc.ReplyMessage) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a, ok := args.(*workflowrpc.OwnerArgs); ok {
+		if c.told == nil {
+			c.told = map[string][]workflowrpc.Worker{}
+		}
+		c.told[addr] = a.Workers
+	}
 	return verdict.Refuse(verdict.CodeUnavailable, "no network")
 }
 
+func (c *failingCaller) toldWorkers(addr string) []workflowrpc.Worker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.told[addr]
+}
+
 type testConfig struct {
 	gpus   int
 	advice *workflow.Advice
@@ -51,6 +69,7 @@
 	config       testConfig
 	advisor      Advisor
 	seq          uint64
+	caller       *failingCaller
 }
 
 // runOwner starts an owner of epoch 2 in virtual time and runs f. prepare writes rows
@@ -59,7 +78,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		r := &harness{t: t, table: rowstorestub.New(), authority: true}
+		r := &harness{t: t, table: rowstorestub.New(), authority: true, caller: &failingCaller{}}
 		r.table.Partition = workflow.Partition
 		prepare(r)
 		version := r.table.Put(testTable, election.FenceKey, []byte("{}"))
@@ -72,7 +91,7 @@
 		began := time.Now()
 		r.owner = New(Options{
 			ID: "owner", Addr: "owner", Epoch: 2, Version: version, Store: store, Mirror: mirror, Table: testTable,
-			Config: r.config, Advisor: r.advisor, Caller: failingCaller{}, Log: eventlog.Discard(), Entries: func() ([]string, uint64) { return nil, 0 },
+			Config: r.config, Advisor: r.advisor, Caller: r.caller, Log: eventlog.Discard(), Entries: func() ([]string, uint64) { return nil, 0 },
 			Authority: func() bool { return r.authority }, OnHigherEpoch: func(uint64) { r.authority = false },
 			OnFencedWrite: func(uint64, time.Duration) { r.fencedWrites++ }, Clock: func() time.Duration { return time.Since(began) },
 			Decide: workflowscheduler.Decide, UnixMillis: func() int64 { return time.Now().UnixMilli() },
@@ -108,7 +127,7 @@
 
 // putWorkerRow stores a worker's row.
 func (r *harness) putWorkerRow(id, listens string, incarnation int64) {
-	value, err := json.Marshal(workerRow{"agent-" + id, listens, incarnation})
+	value, err := json.Marshal(workerRow{Addr: "agent-" + id, Listens: listens, Incarnation: incarnation, Rack: "r"})
 	if err != nil {
 		r.t.Fatal(err)
 	}
@@ -170,6 +189,44 @@
 	})
 }
 
+// TestAgentsAreToldOfExpectedWorkers guards against inherited jobs that wait for a worker
+// of which a restarted agent does not know, and against a wait that goes on although the
+// agent has reported that the worker has ended.
+func TestAgentsAreToldOfExpectedWorkers(t *testing.T) {
+	runOwner(t, func(r *harness) {
+		r.submit(testJob, newStep(1))
+		r.putWorkerRow("old", "10.0.0.2:80", 1)
+	}, func(r *harness) {
+		time.Sleep(awaitedReannounceInterval + tickInterval)
+		if told := r.caller.toldWorkers("agent-old"); len(told) != 1 || told[0].ID != "old" || told[0].Incarnation != 1 || told[0].Addr != "10.0.0.2:80" || told[0].Rack != "r" {
+			t.Fatalf("the agent is told of %+v, want the worker of the row", told)
+		}
+		if got := r.awaitStarts("w", "10.0.0.1:80", 1, time.Second); len(got) != 0 {
+			t.Fatalf("starts %v while the other worker may run the task", got)
+		}
+		r.report("old", "10.0.0.2:80", 1, func(args *workflowrpc.SyncArgs) { args.Worker.Gone, args.Fence = true, 0 })
+		if got := r.awaitStarts("w", "10.0.0.1:80", 1, time.Second); len(got) != 1 {
+			t.Fatalf("starts %v within 1 s after the other worker was gone, want one", got)
+		}
+	})
+}
+
+// TestUnconfirmedWorkerReceivesNoStarts guards against a start on a draining worker: its
+// restarted agent does not know its state before its next heartbeat.
+func TestUnconfirmedWorkerReceivesNoStarts(t *testing.T) {
+	runOwner(t, func(*harness) {}, func(r *harness) {
+		r.submit(testJob, newStep(1))
+		for range 5 {
+			if reply := r.report("w", "10.0.0.1:80", 1, func(args *workflowrpc.SyncArgs) { args.Worker.Unconfirmed = true }); len(reply.Start) > 0 {
+				t.Fatalf("starts %v on an unconfirmed worker", reply.Start)
+			}
+		}
+		if got := r.awaitStarts("w", "10.0.0.1:80", 1, time.Second); len(got) != 1 {
+			t.Fatalf("starts %v after the worker is confirmed, want one", got)
+		}
+	})
+}
+
 // TestSilentWorkerDelaysInheritedJobs guards against a second run of a task that may
 // still run on a worker which does not report to a new owner, and against waiting
 // longer than the worker's lease.
--- a/internal/workflowowner/persist.go
+++ b/internal/workflowowner/persist.go
@@ -119,6 +119,14 @@
 	return true, nil
 }
 
+// row returns the value of the worker's row.
+func (w *worker) row() workerRow {
+	return workerRow{
+		Addr: w.addr, Listens: w.info.Addr, Incarnation: w.incarnation,
+		Pool: w.info.Pool, Zone: w.info.Zone, Rack: w.info.Rack, Labels: w.info.Labels, Capacity: w.info.Capacity,
+	}
+}
+
 // fence returns a check that fails if another entry has taken over.
 func (o *Owner) fence() rowstore.Check {
 	return rowstore.Check{Table: o.opts.Table, Key: election.FenceKey, Version: o.opts.Version}
@@ -141,7 +149,7 @@
 		txn.Checks = append(txn.Checks, rowstore.Check{Table: o.opts.Table, Key: key, Version: version})
 		if w.lost {
 			txn.Deletes = append(txn.Deletes, rowstore.Ref{Table: o.opts.Table, Key: key})
-		} else if value, err := json.Marshal(workerRow{w.addr, w.info.Addr, w.incarnation}); err == nil {
+		} else if value, err := json.Marshal(w.row()); err == nil {
 			txn.Puts = append(txn.Puts, rowstore.Put{Table: o.opts.Table, Key: key, Value: value})
 		}
 		workers = append(workers, workerWrite{w, !w.lost, w.incarnation})
--- a/internal/workflowowner/size_test.go
+++ b/internal/workflowowner/size_test.go
@@ -22,7 +22,7 @@
 	store := table.ClientFor("owner")
 	began := time.Now()
 	o := New(Options{
-		ID: "owner", Addr: "owner", Epoch: 2, Version: 1, Store: store, Table: testTable, Config: testConfig{gpus: 16}, Caller: failingCaller{},
+		ID: "owner", Addr: "owner", Epoch: 2, Version: 1, Store: store, Table: testTable, Config: testConfig{gpus: 16}, Caller: &failingCaller{},
 		Mirror: rowstore.NewMirror(store, testTable, eventlog.Discard(), nil), Log: eventlog.Discard(),
 		Entries: func() ([]string, uint64) { return nil, 0 }, Authority: func() bool { return true }, OnHigherEpoch: func(uint64) {},
 		OnFencedWrite: func(uint64, time.Duration) {}, Clock: func() time.Duration { return time.Since(began) }, Decide: workflowscheduler.Decide,
--- a/internal/workflowowner/worker.go
+++ b/internal/workflowowner/worker.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -145,7 +144,7 @@
 // usable reports whether the worker may receive starts. It returns false for a nil
 // worker.
 func (o *Owner) usable(w *worker) bool {
-	if w == nil || !w.reported || w.fence != o.opts.Epoch || !w.rowCurrent() || w.info.Draining || w.info.Gone || w.lost || w.info.Silent > 0 {
+	if w == nil || !w.reported || w.fence != o.opts.Epoch || !w.rowCurrent() || w.info.Draining || w.info.Unconfirmed || w.info.Gone || w.lost || w.info.Silent > 0 {
 		return false
 	}
 	return time.Since(w.lastCall) < maxContactAge && o.now() >= w.backoff.until && o.health.State(o.now(), w.id) != structs.WorkerQuarantined
@@ -166,19 +165,36 @@
 // reannounce tells the agents of silent workers the owner's address again. An agent that
 // restarted may not know the address of any entry.
 func (o *Owner) reannounce() {
-	if time.Since(o.lastReannounce) < reannounceInterval {
+	interval := reannounceInterval
+	if o.awaitsReports() {
+		interval = awaitedReannounceInterval
+	}
+	if time.Since(o.lastReannounce) < interval {
 		return
 	}
 	o.lastReannounce = time.Now()
-	var addrs []string
+	if agents := o.silentAgents(); len(agents) > 0 {
+		o.wg.Go(func() { o.announce(agents) })
+	}
+}
+
+// silentAgents returns the addresses of the agents that have not called recently, each
+// with those of its workers that have not reported to this owner.
+func (o *Owner) silentAgents() map[string][]workflowrpc.Worker {
+	agents := map[string][]workflowrpc.Worker{}
 	for _, w := range o.workers {
-		if w.addr != "" && !w.lost && time.Since(w.lastCall) > maxContactAge {
-			addrs = append(addrs, w.addr)
+		if w.addr == "" || w.lost || time.Since(w.lastCall) <= maxContactAge {
+			continue
 		}
+		workers := agents[w.addr]
+		if w.awaitingReport {
+			info := w.info
+			info.ID, info.Incarnation = w.id, w.incarnation
+			workers = append(workers, info)
+		}
+		agents[w.addr] = workers
 	}
-	if len(addrs) > 0 {
-		o.wg.Go(func() { o.announce(addrs) })
-	}
+	return agents
 }
 
 // expireWorkers ends all runs on workers whose leases have certainly expired.
@@ -235,16 +251,16 @@
 	return false
 }
 
-// announce tells agents the owner's address, so that they need not search for it.
-func (o *Owner) announce(addrs []string) {
-	slices.Sort(addrs)
+// announce tells agents the owner's address, so that they need not search for it, and on
+// which workers the owner awaits their reports.
+func (o *Owner) announce(agents map[string][]workflowrpc.Worker) {
 	var wg sync.WaitGroup
-	for _, addr := range slices.Compact(addrs) {
+	for addr, workers := range agents {
 		wg.Go(func() {
 			ctx, cancel := context.WithTimeout(o.ctx, announceTimeout)
 			defer cancel()
 			reply := &workflowrpc.OwnerReply{}
-			args := &workflowrpc.OwnerArgs{Owner: o.opts.Addr, Epoch: o.opts.Epoch}
+			args := &workflowrpc.OwnerArgs{Owner: o.opts.Addr, Epoch: o.opts.Epoch, Workers: workers}
 			if err := o.opts.Caller.Call(ctx, addr, workflowrpc.MethodOwnerChanged, args, reply); err != nil {
 				// Not retried here: the agent also searches for the owner by itself.
 				o.opts.Log.Event("announce_failed", "agent", addr, "err", err.Error())
--- a/internal/workflowrpc/workflowrpc.go
+++ b/internal/workflowrpc/workflowrpc.go
@@ -37,6 +37,9 @@
 	// at least Remaining after this report.
 	Draining  bool
 	Remaining time.Duration
+	// Unconfirmed is set until the worker has reported to this process of its agent.
+	// The description is then an earlier one, and no new runs may be started.
+	Unconfirmed bool
 	// Gone is set if this incarnation of the worker has ended; nothing runs on it.
 	Gone bool
 	// Silent is the time since the worker last answered its agent. It is 0 while
@@ -142,6 +145,9 @@
 	rpc.Header
 	Owner string
 	Epoch uint64
+	// Workers lists the workers that reported through this agent to an earlier owner, and
+	// not yet to this one.
+	Workers []Worker
 }
 
 // OwnerReply returns the highest epoch that the agent has seen.
