Start gangs that wait for a rack or a reservation on an idle cluster

Change: a gang that has waited for its rack for as long as running spread costs runs spread if most capacity is idle. While most capacity is idle, work that has waited for 2 s may use reserved capacity if it leaves as much again.

The cases of TestGangStopsWaitingForRackOnIdleCluster and TestReservationsYieldOnIdleCluster that start work fail before.

--- a/internal/workflowscheduler/place.go
+++ b/internal/workflowscheduler/place.go
@@ -33,25 +33,16 @@
 // placeSingles starts as many tasks as fit, on nodes near their data first.
 func (p *planner) placeSingles(g int) {
 	group := &p.snap.Groups[g]
-	left := group.Tasks
-	for _, near := range []bool{true, false} {
-		if !near && !p.remoteWorthwhile(g) {
-			break
-		}
-		candidates := p.candidates(g, near)
-		for len(left) > 0 {
-			n := bestCandidate(candidates)
-			if n < 0 {
-				break
-			}
-			p.start(g, left[0], n, p.duration(group, n, false))
-			p.countTask(group, n)
-			candidates[n] = p.candidate(g, n, near) // free capacity has changed on this node only
-			left = left[1:]
-		}
-		if group.DataRack == "" {
+	left := p.startSingles(g, group.Tasks, true, p.slotsNow)
+	if group.DataRack != "" && p.remoteWorthwhile(g) {
+		left = p.startSingles(g, left, false, p.slotsNow)
+	}
+	for len(left) > 0 && p.mayUseReserved(g) {
+		rest := p.startSingles(g, left[:1], true, p.slotsIgnoringReservations)
+		if len(rest) > 0 {
 			break
 		}
+		left = left[1:]
 	}
 	if len(left) == 0 {
 		return
@@ -63,6 +54,27 @@
 	}
 }
 
+// startSingles starts as many of the tasks as fit, near the group's data or away from it,
+// and returns the others. slots returns how many tasks of the group fit on a node.
+func (p *planner) startSingles(g int, left []int, near bool, slots func(g, node int) int) []int {
+	group := &p.snap.Groups[g]
+	candidates := make([]candidate, len(p.nodes))
+	for n := range p.nodes {
+		candidates[n] = p.candidate(g, n, near, slots)
+	}
+	for len(left) > 0 {
+		n := bestCandidate(candidates)
+		if n < 0 {
+			break
+		}
+		p.start(g, left[0], n, p.duration(group, n, false))
+		p.countTask(group, n)
+		candidates[n] = p.candidate(g, n, near, slots) // free capacity has changed on this node only
+		left = left[1:]
+	}
+	return left
+}
+
 // countTask counts a planned task toward the group's limit of tasks on a worker.
 func (p *planner) countTask(group *Group, n int) {
 	if group.MaxPerWorker == 0 {
@@ -103,20 +115,11 @@
 	key  [4]float64
 }
 
-// candidates rates all nodes for the group. Those that are near its data fit only if
-// near is set, the others only if it is not.
-func (p *planner) candidates(g int, near bool) []candidate {
-	out := make([]candidate, len(p.nodes))
-	for n := range p.nodes {
-		out[n] = p.candidate(g, n, near)
-	}
-	return out
-}
-
-// candidate rates node n; see candidates.
-func (p *planner) candidate(g, n int, near bool) candidate {
+// candidate rates node n for the group. A node near its data fits only if near is set,
+// another one only if it is not.
+func (p *planner) candidate(g, n int, near bool, slots func(g, node int) int) candidate {
 	group, w := &p.snap.Groups[g], &p.nodes[n]
-	if near == remote(group, w.Rack) || p.slotsNow(g, n) < 1 {
+	if near == remote(group, w.Rack) || slots(g, n) < 1 {
 		return candidate{}
 	}
 	after := w.Free.Add(group.Need, -1)
@@ -138,7 +141,11 @@
 func (p *planner) placeGang(g int) {
 	group := &p.snap.Groups[g]
 	need := len(group.Tasks)
-	placements, spread := p.gangPlacements(g, need, p.slotsNow)
+	slots := p.slotsNow
+	if p.mayUseReserved(g) {
+		slots = p.slotsIgnoringReservations
+	}
+	placements, spread := p.gangPlacements(g, need, slots)
 	if placements != nil {
 		slowest := time.Duration(0)
 		for _, s := range placements {
@@ -253,7 +260,10 @@
 	if a, b := group.WorthAt(spread), group.WorthAt(waiting); a != b {
 		return a > b
 	}
-	return spread < waiting && (p.mostlyIdle() || waiting >= never)
+	if waiting >= never {
+		return true
+	}
+	return (spread < waiting || p.snap.Now-group.ReadyAt >= extra) && p.mostlyIdle()
 }
 
 // mostlyIdle reports whether at most half of the workers' capacity is in use.
@@ -265,6 +275,21 @@
 	return free.Add(free, 1).Fits(p.totalCapacity)
 }
 
+// mayUseReserved reports whether a group may take capacity that is reserved for work
+// ahead of it: most capacity is idle, the group has waited for idleWaitLimit, and it
+// leaves as much as it takes.
+func (p *planner) mayUseReserved(g int) bool {
+	group := &p.snap.Groups[g]
+	if len(p.reservations) == 0 || p.snap.Now-group.ReadyAt < idleWaitLimit || !p.mostlyIdle() {
+		return false
+	}
+	need := 1
+	if group.Gang {
+		need = len(group.Tasks)
+	}
+	return p.countSlots(g, p.slotsIgnoringReservations).total >= 2*need
+}
+
 // earliestRackFit returns the time at which n tasks of a group fit in one rack, or in
 // the rack of its data if it has one, assuming that runs end as expected. It returns
 // never if they do not fit at any time.
--- a/internal/workflowscheduler/workflowscheduler.go
+++ b/internal/workflowscheduler/workflowscheduler.go
@@ -198,6 +198,9 @@
 	// to still need.
 	overdueShare = 0.25
 	minRemaining = 200 * time.Millisecond // the least remaining run time assumed of a run
+	// idleWaitLimit is how long a group waits for reservations of other work while most
+	// capacity is idle.
+	idleWaitLimit = 2 * time.Second
 )
 
 // node is a worker with the planner's changes to its free capacity.
@@ -375,7 +378,18 @@
 
 // slotsNow returns how many tasks of the group fit on node n now without violating
 // reservations.
-func (p *planner) slotsNow(g int, n int) int {
+func (p *planner) slotsNow(g, n int) int {
+	count := p.slotsIgnoringReservations(g, n)
+	group := &p.snap.Groups[g]
+	for count > 0 && !p.respectsReservations(group, n, count, p.duration(group, n, false)) {
+		count--
+	}
+	return count
+}
+
+// slotsIgnoringReservations returns how many tasks of the group fit in the free capacity
+// of node n.
+func (p *planner) slotsIgnoringReservations(g, n int) int {
 	group, w := &p.snap.Groups[g], &p.nodes[n]
 	if !p.eligible(g, n) {
 		return 0
@@ -390,9 +404,6 @@
 		}
 		count = min(count, 1)
 	}
-	for count > 0 && !p.respectsReservations(group, n, count, p.duration(group, n, false)) {
-		count--
-	}
 	return max(count, 0)
 }
 
