Tell the owner of accepted jobs directly, and check a silent store in the background

Cause: the owner learned of jobs that other entries had accepted by the store's feed alone.

Change: while the store refuses a process, its calls go through peers, and the direct connection is tried beside them. An entry sends each row that it has written to the owner at once; the feed delivers it as well.

TestFailoverChecksDirectConnectionInBackground and TestOwnerLearnsOfJobsWithoutItsFeed fail before. TestFailoverUsesPeers now counts the check beside the call, and also that calls are direct again afterwards. TestOwnerWithoutFeedStepsDown keeps rows from the owner by both ways. An isolated entry of the simulation no longer lists the table.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,8 @@
 	Log    *eventlog.Log
 	// UnixMillis returns the wall clock time.
 	UnixMillis func() int64
+	// OnWrite is called with each row that the gateway has written; nil for nothing.
+	OnWrite func(rowstore.Row)
 }
 
 // Gateway accepts jobs, reports their state and cancels them. It is safe for
@@ -192,10 +194,19 @@
 	if err != nil {
 		return err
 	}
-	g.opts.Mirror.RecordRow(rowstore.Row{Table: g.opts.Table, Key: key, Value: value, Version: version})
+	g.recordWritten(key, value, version)
 	return nil
 }
 
+// recordWritten applies a row that this gateway has written.
+func (g *Gateway) recordWritten(key string, value []byte, version uint64) {
+	row := rowstore.Row{Table: g.opts.Table, Key: key, Value: value, Version: version}
+	g.opts.Mirror.RecordRow(row)
+	if g.opts.OnWrite != nil {
+		g.opts.OnWrite(row)
+	}
+}
+
 // storeAnswers reports whether the store answers again although it was lost. It reads the
 // job's row, which is in the partition that a submission writes to. Concurrent callers
 // share one call.
@@ -268,7 +279,7 @@
 	if err != nil {
 		return true, err
 	}
-	g.opts.Mirror.RecordRow(rowstore.Row{Table: g.opts.Table, Key: key, Value: value, Version: version})
+	g.recordWritten(key, value, version)
 	return true, nil
 }
 
--- a/internal/rowstore/failover.go
+++ b/internal/rowstore/failover.go
@@ -41,8 +41,8 @@
 	// attemptTimeout limits one attempt. A store that is 80 times as slow as
 	// usual (4 ms, transactions 8 ms) still answers within it.
 	attemptTimeout = 1200 * time.Millisecond
-	// directRetryDelay is the minimum time for which calls go to peers first after a
-	// direct call has failed; with jitter it is up to twice as long.
+	// directRetryDelay is the minimum time between two direct calls while the store
+	// refuses this process; with jitter it is up to twice as long.
 	directRetryDelay = 700 * time.Millisecond
 	// outageRetryDelay is the minimum time for which the calls of a scope fail
 	// immediately after one has failed both directly and through peers; with jitter it
@@ -64,9 +64,9 @@
 	Log   *eventlog.Log
 
 	mu              sync.Mutex
-	peersFirstUntil time.Time            // calls try peers before the direct connection until then
+	nextDirectCheck time.Time            // while directRefused: when to try the direct connection again
 	failFastUntil   map[string]time.Time // by scope; calls fail immediately until then
-	directRefused   bool                 // set by a failed direct call, cleared by a successful one
+	directRefused   bool                 // set by a failed direct call, cleared by a successful one; calls try peers first
 	nextPeer        int                  // index of the peer to try first
 	// lastDirectRead is when a direct read last succeeded.
 	lastDirectRead time.Time
@@ -98,8 +98,15 @@
 		f.mu.Unlock()
 		return Answer{}, Unavailable(verdict.NotRun, "the store is out of reach").WithRetryAfter(wait)
 	}
-	viaPeers := now.Before(f.peersFirstUntil)
+	viaPeers := f.directRefused
+	check := viaPeers && !c.Write && !now.Before(f.nextDirectCheck)
+	if check {
+		f.nextDirectCheck = now.Add(attemptTimeout + c.Wait)
+	}
 	f.mu.Unlock()
+	if check {
+		go f.checkDirect(context.WithoutCancel(ctx), c)
+	}
 	outcome := verdict.NotRun
 	var lastErr error
 	try := func(call CallFunc) (Answer, bool) {
@@ -216,7 +223,7 @@
 		f.lastDirectRead = time.Now()
 	}
 	regained := f.directRefused
-	f.directRefused, f.peersFirstUntil = false, time.Time{}
+	f.directRefused = false
 	delete(f.failFastUntil, c.Scope)
 	f.mu.Unlock()
 	if regained {
@@ -224,11 +231,26 @@
 	}
 }
 
-// recordDirectFailure makes calls go to peers first for some time.
+// checkDirect sends a read directly while the call itself goes through a peer, so that a
+// store that does not answer this process delays no call.
+func (f *Failover) checkDirect(ctx context.Context, c Call) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout+c.Wait)
+	defer cancel()
+	a, err := f.Direct(ctx, c)
+	if err == nil && a.Status != http.StatusServiceUnavailable && a.Status != http.StatusTooManyRequests {
+		f.recordDirectSuccess(c)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nextDirectCheck = time.Now().Add(retry.Jitter(2 * directRetryDelay))
+}
+
+// recordDirectFailure makes calls go to peers first until a direct one succeeds.
 func (f *Failover) recordDirectFailure(err error) {
 	f.mu.Lock()
 	lost := !f.directRefused
-	f.directRefused, f.peersFirstUntil = true, time.Now().Add(retry.Jitter(2*directRetryDelay))
+	f.directRefused, f.nextDirectCheck = true, time.Now().Add(retry.Jitter(2*directRetryDelay))
 	f.mu.Unlock()
 	if lost {
 		f.Log.Event("store_direct_lost", "err", err.Error())
--- a/internal/rowstore/rowstore_test.go
+++ b/internal/rowstore/rowstore_test.go
@@ -130,9 +130,45 @@
 		}
 		status = http.StatusOK
 		time.Sleep(2 * time.Second)
-		if a, err := f.Do(t.Context(), rowstore.Call{}); err != nil || a.Status != http.StatusOK || direct.Load() != 2 {
-			t.Errorf("the direct connection is not tried again: %d direct calls, %v", direct.Load(), err)
+		if a, err := f.Do(t.Context(), rowstore.Call{}); err != nil || a.Status != http.StatusOK {
+			t.Errorf("status %d, %v", a.Status, err)
 		}
+		synctest.Wait()
+		if direct.Load() != 2 {
+			t.Errorf("the direct connection is not tried again: %d direct calls", direct.Load())
+		}
+		before := peer.Load()
+		if _, err := f.Do(t.Context(), rowstore.Call{}); err != nil || direct.Load() != 3 || peer.Load() != before {
+			t.Errorf("calls still go through peers: %d direct calls, %d more through the peer, %v", direct.Load(), peer.Load()-before, err)
+		}
+	})
+}
+
+// Guards against calls that wait for a store which has stopped to answer this process
+// although a peer reaches it. An owner learned of accepted jobs 1.3 s late, each time that
+// it tried the direct connection again (kalstaly-pier, trouble-1).
+func TestFailoverChecksDirectConnectionInBackground(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var peer atomic.Int64
+		f := &rowstore.Failover{
+			Direct: func(ctx context.Context, _ rowstore.Call) (rowstore.Answer, error) {
+				<-ctx.Done()
+				return rowstore.Answer{}, rowstore.Unavailable(verdict.NotRun, "no answer")
+			},
+			Peers: func() []rowstore.CallFunc { return []rowstore.CallFunc{respondWith(http.StatusOK, &peer)} },
+			Log:   eventlog.Discard(),
+		}
+		if _, err := f.Do(t.Context(), rowstore.Call{}); err != nil {
+			t.Fatal(err)
+		}
+		for range 100 {
+			began := time.Now()
+			if _, err := f.Do(t.Context(), rowstore.Call{}); err != nil || time.Since(began) > 0 {
+				t.Fatalf("a call through a peer takes %v, %v", time.Since(began), err)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second) // until the last check has ended
 	})
 }
 
--- a/internal/workflowdaemon/entry.go
+++ b/internal/workflowdaemon/entry.go
@@ -125,7 +125,7 @@
 	e.tableMirror = rowstore.NewMirror(e.store, Table, o.Log, e.applyRows)
 	e.tableMirror.Pace, e.tableMirror.Clock = e.feedDelay, o.Clock
 	e.operatorMirror = rowstore.NewMirror(e.store, o.OperatorTable, o.Log, e.applyOperatorRows)
-	e.Gateway = gateway.New(gateway.Options{Store: e.store, Mirror: e.tableMirror, Table: Table, Log: o.Log, UnixMillis: unixMillis})
+	e.Gateway = gateway.New(gateway.Options{Store: e.store, Mirror: e.tableMirror, Table: Table, Log: o.Log, UnixMillis: unixMillis, OnWrite: e.sendToOwner})
 	e.elector = election.New(election.Options{
 		Store: e.store, Mirror: e.tableMirror, Table: Table, Log: o.Log, Clock: o.Clock,
 		Self:        election.Holder{ID: o.ID, Addr: o.RPCAddr, Incarnation: time.Now().UnixNano()},
--- a/internal/workflowdaemon/peer.go
+++ b/internal/workflowdaemon/peer.go
@@ -30,6 +30,23 @@
 	}
 }
 
+// sendToOwner sends a row that this entry has written to the owner, which need not wait for
+// the store's feed then. The call is not repeated: the feed delivers the row as well.
+func (e *Entry) sendToOwner(r rowstore.Row) {
+	holder, ok := e.elector.Owner()
+	if !ok || holder.Addr == "" || holder.Addr == e.opts.RPCAddr {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+		defer cancel()
+		args := &workflowrpc.RowsArgs{Rows: []rowstore.Row{r}}
+		if err := e.opts.Caller.Call(ctx, holder.Addr, workflowrpc.MethodRows, args, &workflowrpc.RowsReply{}); err != nil {
+			e.opts.Log.Event("row_not_sent", "owner", holder.ID, "key", r.Key, "err", err.Error())
+		}
+	}()
+}
+
 // maxConfirmRows limits the rows in a reply to Confirm. An owner that lost the
 // store before the others did lacks the changes of about 2 s.
 const maxConfirmRows = 200
@@ -158,6 +175,14 @@
 	return nil
 }
 
+// Rows adds rows that another entry has written to this entry's copy of the table.
+func (s *peerService) Rows(args *workflowrpc.RowsArgs, _ *workflowrpc.RowsReply) error {
+	for _, r := range args.Rows {
+		s.entry.tableMirror.RecordRow(r)
+	}
+	return nil
+}
+
 // Store performs a store call for a process that cannot reach the store.
 func (s *peerService) Store(args *workflowrpc.StoreArgs, reply *workflowrpc.StoreReply) error {
 	ctx, end := rpc.StartServerSpan(args.Header, workflowrpc.MethodStore)
--- a/internal/workflowdaemon/sim_cases_test.go
+++ b/internal/workflowdaemon/sim_cases_test.go
@@ -92,16 +92,53 @@
 // outage before it had read what changed. Another entry has to become owner.
 func TestOwnerWithoutFeedStepsDown(t *testing.T) {
 	runScenario(t, func(s *sim) {
-		owner := s.cancelUnseenByOwner(3500*time.Millisecond, func(owner string) { s.setFeedBlocked(owner, true) })
+		owner := s.cancelUnseenByOwner(3500*time.Millisecond, func(owner string) {
+			s.setFeedBlocked(owner, true)
+			s.setRowsBlocked(owner, true)
+		})
 		time.Sleep(14 * time.Second)
 		if got := s.ownerID(); got == owner || got == "" {
 			t.Errorf("the owner is %q, want one other than %q", got, owner)
 		}
 		s.setFeedBlocked(owner, false)
+		s.setRowsBlocked(owner, false)
 		time.Sleep(3 * time.Second)
 	})
 }
 
+// Guards against accepted jobs that wait for the owner's feed, which is slow or silent on
+// many days: with the owner's store connection silent, urgent jobs that other entries had
+// accepted started 1 to 1.3 s later (kalstaly-pier, trouble-1).
+func TestOwnerLearnsOfJobsWithoutItsFeed(t *testing.T) {
+	runScenario(t, func(s *sim) {
+		const id = "5c0e7a21d94b36f8"
+		owner := s.ownerID()
+		other := s.entries["entry0"]
+		if owner == "entry0" {
+			other = s.entries["entry1"]
+		}
+		s.setFeedBlocked(owner, true)
+		time.Sleep(time.Second) // a feed call that is in progress still gets its answer
+		s.mustSubmit(other, id, workflow.Spec{Payload: "x", Steps: []workflow.Step{{Tasks: 1, Need: workflow.Resources{CPUMilli: 1000}, Estimate: 500}}})
+		time.Sleep(300 * time.Millisecond)
+		s.history.mu.Lock()
+		starts := s.history.starts
+		s.history.mu.Unlock()
+		if starts != 1 {
+			t.Error("the job has not started 0.3 s after it was accepted at another entry")
+		}
+		s.setFeedBlocked(owner, false)
+		s.waitForEnd(id)
+	})
+}
+
+// setRowsBlocked sets whether a process gets no rows from other entries.
+func (s *sim) setRowsBlocked(id string, blocked bool) {
+	s.net.mu.Lock()
+	defer s.net.mu.Unlock()
+	s.net.rowsBlocked[id] = blocked
+}
+
 // setFeedBlocked sets whether a process gets no answers from the store's feed.
 func (s *sim) setFeedBlocked(id string, blocked bool) {
 	s.net.mu.Lock()
--- a/internal/workflowdaemon/sim_net_test.go
+++ b/internal/workflowdaemon/sim_net_test.go
@@ -12,6 +12,7 @@
 	"github.com/parsleypier/parsleypier/internal/rowstore"
 	"github.com/parsleypier/parsleypier/internal/rpc"
 	"github.com/parsleypier/parsleypier/internal/verdict"
+	"github.com/parsleypier/parsleypier/internal/workflowrpc"
 )
 
 // simNet carries calls between the processes of a simulation.
@@ -20,6 +21,7 @@
 	services    map[string]map[string]any // by address and service
 	isolated    map[string]bool           // addresses that reach no other process
 	feedBlocked map[string]bool           // processes that get no answers from the store's feed
+	rowsBlocked map[string]bool           // addresses that get no rows from other entries
 }
 
 // simCaller is one process's view of the network.
@@ -35,6 +37,7 @@
 	service, name, _ := strings.Cut(method, ".")
 	c.net.mu.Lock()
 	target, isolated := c.net.services[addr], c.net.isolated[addr] || c.net.isolated[c.addr]
+	isolated = isolated || method == workflowrpc.MethodRows && c.net.rowsBlocked[addr]
 	c.net.mu.Unlock()
 	if isolated {
 		<-ctx.Done()
@@ -131,6 +134,13 @@
 	return c.Store.Feed(ctx, table, after, wait)
 }
 
+func (c isolatableStore) List(ctx context.Context, table, from string, limit int) (rowstore.Page, error) {
+	if err := c.checkReachable(ctx); err != nil {
+		return rowstore.Page{}, err
+	}
+	return c.Store.List(ctx, table, from, limit)
+}
+
 func (c isolatableStore) Get(ctx context.Context, table, key string) (rowstore.Row, bool, error) {
 	if err := c.checkReachable(ctx); err != nil {
 		return rowstore.Row{}, false, err
--- a/internal/workflowdaemon/sim_test.go
+++ b/internal/workflowdaemon/sim_test.go
@@ -104,7 +104,7 @@
 
 func newSim(ctx context.Context, t *testing.T, seed uint64) *sim {
 	s := &sim{
-		t: t, ctx: ctx, rng: &lockedRand{rng: rand.New(rand.NewPCG(seed, 1))}, net: &simNet{services: map[string]map[string]any{}, isolated: map[string]bool{}, feedBlocked: map[string]bool{}},
+		t: t, ctx: ctx, rng: &lockedRand{rng: rand.New(rand.NewPCG(seed, 1))}, net: &simNet{services: map[string]map[string]any{}, isolated: map[string]bool{}, feedBlocked: map[string]bool{}, rowsBlocked: map[string]bool{}},
 		table: newPartitionedTable(), history: newHistory(), log: eventlog.Discard(), entries: map[string]*simEntry{}, agents: map[string]*Agent{},
 		faultCounts: map[string]int{},
 	}
--- a/internal/workflowrpc/workflowrpc.go
+++ b/internal/workflowrpc/workflowrpc.go
@@ -17,6 +17,7 @@
 	MethodOwnerChanged = "Agent.OwnerChanged"
 	MethodConfirm      = "Peer.Confirm"
 	MethodStore        = "Peer.Store"
+	MethodRows         = "Peer.Rows"
 	MethodConfig       = "Peer.Config"
 )
 
@@ -178,6 +179,16 @@
 	More bool
 }
 
+// RowsArgs brings the owner rows that an entry has just written, which the owner would
+// otherwise learn from the store's feed.
+type RowsArgs struct {
+	rpc.Header
+	Rows []rowstore.Row
+}
+
+// RowsReply is the reply to RowsArgs.
+type RowsReply struct{ rpc.Reply }
+
 // StoreArgs is a call to the store that an entry makes on behalf of a process whose
 // own calls to the store fail.
 type StoreArgs struct {
