Report an expected worker that refuses connections after 0.1 s

Change: a worker that has never answered this process of the agent counts as ended after 0.1 s of refused connections on its own machine.

The case of TestEndedWorkerIsReportedByRestartedAgent is stricter and fails before.

--- a/internal/workflowagent/expected_test.go
+++ b/internal/workflowagent/expected_test.go
@@ -39,7 +39,7 @@
 // jobs waited 10 s (kalstaly-pier, scale-2, seed 1).
 func TestEndedWorkerIsReportedByRestartedAgent(t *testing.T) {
 	withRestartedAgent(t, "10.0.0.1:80", func(w *fakeWorker) { w.crashed = true }, func(t *testing.T, h *harness) {
-		time.Sleep(time.Second)
+		time.Sleep(goneAfterRefused) // some agents are stopped soon after they have restarted
 		if w := h.owner.lastReport().Worker; w.ID != "w" || !w.Gone {
 			t.Errorf("reported worker %+v, want that w is gone", w)
 		}
--- a/internal/workflowagent/session.go
+++ b/internal/workflowagent/session.go
@@ -196,7 +196,7 @@
 		default:
 		}
 		if err := s.hold(ctx, wait); err != nil {
-			if errors.Is(err, ErrOtherIncarnation) || s.refusedFor() >= goneAfterRefused {
+			if errors.Is(err, ErrOtherIncarnation) || s.refusedTooLong() {
 				s.markGone(err.Error())
 				return
 			}
@@ -277,14 +277,20 @@
 // sooner.
 const goneAfterRefused = 300 * time.Millisecond
 
-// refusedFor returns how long connections to the worker have been refused.
-func (s *session) refusedFor() time.Duration {
+// expectedGoneAfterRefused applies to a worker that has never answered this process of the
+// agent. The process may be about to end, and a later one may not be told of the worker.
+const expectedGoneAfterRefused = 100 * time.Millisecond
+
+// refusedTooLong reports whether connections to the worker have been refused for so long
+// that its process counts as ended.
+func (s *session) refusedTooLong() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.refusedSince.IsZero() {
-		return 0
+	limit := goneAfterRefused
+	if s.worker.Unconfirmed && !s.listed {
+		limit = expectedGoneAfterRefused
 	}
-	return time.Since(s.refusedSince)
+	return !s.refusedSince.IsZero() && time.Since(s.refusedSince) >= limit
 }
 
 // silentAfter is the time without an answer after which a worker is reported as
