Add an account of what jobs earned to the command-line tool

'parsleypier logs account' reads the event logs of a deployment and gives each workflow job that earned less than its worth one cause, the moment and the delay; the causes sum to what was lost. It also gives what a job could have earned alone on an empty cluster under the same losses, the work thrown away by cause and the worst windows of submission. 'parsleypier logs explain ID' lists the waits and runs of one job.

The log entry job_seen has what that needs: the share of a wave, the late worth and the late factor.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -67,13 +67,15 @@
 		{"", "top", "Show workers and queue repeatedly", "Refreshes --count times.", &topCommand{app: a}},
 		{"", "trace", "Print the trace of a job", "Reads files of spans in the JSON form of the OpenTelemetry stdout exporter.", &traceCommand{app: a}},
 		{"", "report", "Write a report as one HTML file", "Plots completion times and free accelerators by account.", &reportCommand{app: a}},
+		{"logs", "account", "Say what jobs earned and why they earned less", "Reads the event logs of all entries of a deployment for workflow jobs, and of its agents where given.", &logsAccount{app: a}},
+		{"logs", "explain", "Say what delayed one job", "Reads the same logs. Prints the waits and runs of the job's longest chain of work.", &logsExplain{app: a}},
 		{"completion", "bash", "Print the completion script for bash", "Use it by: source <(parsleypier completion bash)", &completionBash{app: a}},
 	}
 }
 
 // groupDescriptions are the help texts of the parent commands.
 var groupDescriptions = map[string]string{
-	"manifest": "Check, compare and apply manifests", "job": "Submit and follow jobs", "completion": "Print completion scripts",
+	"manifest": "Check, compare and apply manifests", "job": "Submit and follow jobs", "logs": "Explain from event logs", "completion": "Print completion scripts",
 }
 
 // Main runs the tool with the arguments after the program's name and returns
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -142,6 +142,8 @@
 		{"manifest-show", 0, []string{"manifest", "show"}},
 		{"manifest-history", 0, []string{"manifest", "history"}},
 		{"trace", 0, []string{"trace", testJobID, "--file", "testdata/spans.json"}},
+		{"logs-account", 0, []string{"logs", "account", "--file", "testdata/events.log"}},
+		{"logs-explain", 0, []string{"logs", "explain", "5c0e7a21d94b36f8", "--file", "testdata/events.log"}},
 		{"completion", 0, []string{"completion", "bash"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -178,6 +180,9 @@
 		{"no command", nil, nil, ExitUsage},
 		{"nothing to cancel", nil, []string{"job", "cancel"}, ExitUsage},
 		{"no file", nil, []string{"manifest", "check", "/nonexistent"}, ExitError},
+		{"not a log", nil, []string{"logs", "account", "--file", "testdata/spans.json"}, ExitError},
+		{"unknown job", nil, []string{"logs", "explain", "x", "--file", "testdata/events.log"}, ExitError},
+		{"no window", nil, []string{"logs", "account", "--window", "0s", "--file", "testdata/events.log"}, ExitError},
 		{"bad entry", nil, []string{"--entry", "ftp://x", "status"}, ExitUsage},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/workflow/spec.go
+++ b/internal/workflow/spec.go
@@ -267,6 +267,11 @@
 	// its critical path, plus Slack.
 	Stretch float64 `json:"stretch,omitempty"`
 	Slack   Millis  `json:"slackMs,omitempty"`
+	// WaveShare is the share of the pool's capacity up to which a step's tasks are taken to
+	// run at once. A wider step counts as several waves, one after the other, in the
+	// critical path to which Stretch applies. 0 means that all steps run at once. The
+	// scheduler plans without waves; the account of the logs uses them.
+	WaveShare float64 `json:"waveShare,omitempty"`
 	// Advice is set if the queue's steps may only run on workers for which the placement
 	// advice service has issued a ticket; nil if they may run on all workers of the
 	// pool.
--- a/internal/workflowowner/owner.go
+++ b/internal/workflowowner/owner.go
@@ -319,7 +319,8 @@
 	value, _, path := o.jobValue(j, 0)
 	o.opts.Log.Event("job_seen", "job", j.id, "queue", j.record.Queue, "account", j.record.Account, "steps", len(steps),
 		"version", j.recordVersion, "inherited", j.inherited, "cancelled", j.cancelled, "acceptedAtMs", j.record.AcceptedAt,
-		"priority", terms.Priority, "stretch", terms.Stretch, "slackMs", terms.Slack.Duration().Milliseconds(), "worth", value.Worth, "pathMs", path.Milliseconds(), "shape", shape)
+		"priority", terms.Priority, "stretch", terms.Stretch, "slackMs", terms.Slack.Duration().Milliseconds(), "waveShare", terms.WaveShare,
+		"worth", value.Worth, "lateWorth", value.LateWorth, "lateFactor", lateDeadlineFactor, "pathMs", path.Milliseconds(), "shape", shape)
 }
 
 func (o *Owner) observeProgress(id string, r rowstore.Row) {
