Write a job's record to another partition while its own does not answer

Change: if the write of a record fails, or has no answer for 0.9 s, it is also written under a spare key whose partition is another one. Both rows mean the same job; the owner takes the lower version, so that a job which an earlier owner could read counts as inherited; both rows are removed before the job's progress. A submission counts as not run only if neither write can take effect. The account names work that clients cancelled, and the windows with the least that was possible.

TestSubmissionUsesSparePartition and TestJobWithTwoRowsIsInherited fail before.

--- a/internal/cli/logs.go
+++ b/internal/cli/logs.go
@@ -77,7 +77,9 @@
 	Causes   []CauseView      `json:"causes"`
 	Late     []logaccount.Job `json:"late"`
 	// Worst lists the windows with the lowest share of earned worth, the lowest first.
-	Worst []WindowView `json:"worst"`
+	// WorstPossible is the same for what the jobs could have earned, as their Earned.
+	Worst         []WindowView `json:"worst"`
+	WorstPossible []WindowView `json:"worstPossible"`
 }
 
 // Execute implements flags.Commander.
@@ -90,7 +92,8 @@
 		return fmt.Errorf("--window is %v, it must be above 0", c.Window)
 	}
 	view := summarize(account)
-	view.Worst = worstWindows(account, c.Window, max(0, c.Worst))
+	view.Worst = worstWindows(account, c.Window, max(0, c.Worst), func(j *logaccount.Job) float64 { return j.Earned })
+	view.WorstPossible = worstWindows(account, c.Window, max(0, c.Worst), func(j *logaccount.Job) float64 { return j.Possible })
 	if printed, err := c.printJSON(view); printed {
 		return err
 	}
@@ -119,9 +122,10 @@
 }
 
 // worstWindows returns the n windows of submission with the lowest share of earned worth.
-func worstWindows(account *logaccount.Account, length time.Duration, n int) []WindowView {
+func worstWindows(account *logaccount.Account, length time.Duration, n int, earned func(*logaccount.Job) float64) []WindowView {
 	windows := map[time.Time]*WindowView{}
-	for _, j := range account.Jobs {
+	for i := range account.Jobs {
+		j := &account.Jobs[i]
 		from := j.Submitted.Truncate(length)
 		w := windows[from]
 		if w == nil {
@@ -129,7 +133,7 @@
 			windows[from] = w
 		}
 		w.Jobs++
-		w.Worth, w.Earned = w.Worth+j.Worth, w.Earned+j.Earned
+		w.Worth, w.Earned = w.Worth+j.Worth, w.Earned+earned(j)
 		if j.Cause != "" {
 			w.Causes = append(w.Causes, j.Cause)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,10 @@
 	// outageRetryAfter is the Retry-After sent to clients while the store is
 	// unavailable. Clients time out after about 3 s; outages last several seconds.
 	outageRetryAfter = time.Second
+	// spareWriteDelay is the time without an answer to the write of a record after which
+	// it is also written to another partition. A store that is 80 times as slow as usual
+	// answers within it.
+	spareWriteDelay = 900 * time.Millisecond
 	// probeTimeout limits the call that finds out whether a lost store answers again,
 	// and so how long a refusal takes while it does not.
 	probeTimeout = 150 * time.Millisecond
@@ -76,7 +80,7 @@
 func (g *Gateway) applyRow(r rowstore.Row) {
 	prefix, id := workflow.SplitKey(r.Key)
 	switch prefix {
-	case workflow.RecordPrefix, workflow.CancelPrefix, workflow.ProgressPrefix:
+	case workflow.RecordPrefix, workflow.SpareRecordPrefix, workflow.CancelPrefix, workflow.ProgressPrefix:
 	default:
 		return
 	}
@@ -89,7 +93,7 @@
 		g.jobs[id] = job
 	}
 	switch prefix {
-	case workflow.RecordPrefix:
+	case workflow.RecordPrefix, workflow.SpareRecordPrefix:
 		if r.Deleted {
 			delete(g.jobs, id)
 			return
@@ -136,6 +140,9 @@
 		return state, queue == q.Name, nil
 	}
 	row, exists, err := g.opts.Store.Get(ctx, g.opts.Table, workflow.RecordPrefix+id)
+	if err == nil && !exists {
+		row, exists, err = g.opts.Store.Get(ctx, g.opts.Table, workflow.SpareRecordPrefix+id)
+	}
 	if err != nil {
 		return "", false, err
 	}
@@ -176,14 +183,11 @@
 	if len(value) > rowstore.MaxRowBytes {
 		return verdict.Refuse(verdict.CodeTooLarge, "the job takes %d bytes, at most %d are stored", len(value), rowstore.MaxRowBytes)
 	}
-	key := workflow.RecordPrefix + id
-	version, err := g.createRow(ctx, key, value)
+	key, version, err := g.createRow(ctx, value, workflow.RecordPrefix+id, workflow.SpareRecordPrefix+id)
 	var conflict *rowstore.Conflict
 	if errors.As(err, &conflict) {
 		for _, r := range conflict.Rows {
-			if r.Key == key {
-				g.opts.Mirror.RecordRow(r)
-			}
+			g.opts.Mirror.RecordRow(r)
 		}
 		queue, _, known := g.cachedState(id)
 		if !known {
@@ -230,29 +234,80 @@
 	return nil
 }
 
-// createRow writes a row that must not exist yet. While the outcome is unknown it
-// retries, until the store is found to be unavailable or ctx ends.
-func (g *Gateway) createRow(ctx context.Context, key string, value []byte) (uint64, error) {
+// createRow writes a row that must not exist yet, under the first of the keys whose
+// partition accepts it, and returns that key. While the outcome is unknown it retries,
+// until the store is found to be unavailable or ctx ends. It returns a conflict if a row
+// with one of the keys exists.
+func (g *Gateway) createRow(ctx context.Context, value []byte, keys ...string) (string, uint64, error) {
 	outcome := verdict.NotRun
-	txn := rowstore.Txn{
-		Checks: []rowstore.Check{{Table: g.opts.Table, Key: key}},
-		Puts:   []rowstore.Put{{Table: g.opts.Table, Key: key, Value: value}},
-	}
 	for {
-		version, err := g.opts.Store.Commit(ctx, txn)
+		r := g.createOnce(ctx, value, keys)
 		var conflict *rowstore.Conflict
-		if err == nil || errors.As(err, &conflict) {
-			return version, err
+		if r.err == nil || errors.As(r.err, &conflict) {
+			return r.key, r.version, r.err
 		}
-		if verdict.Of(err) != verdict.NotRun {
+		if verdict.Of(r.err) != verdict.NotRun {
 			outcome = verdict.MayHaveRun
 		}
 		if outcome == verdict.NotRun || g.opts.Mirror.StoreLost() || !retry.Sleep(ctx, retry.Jitter(2*meanRetryDelay)) {
-			return 0, verdict.From(err).WithVerdict(outcome).WithRetryAfter(outageRetryAfter)
+			return "", 0, verdict.From(r.err).WithVerdict(outcome).WithRetryAfter(outageRetryAfter)
 		}
 	}
 }
 
+// writeResult is the result of the write of a row.
+type writeResult struct {
+	key     string
+	version uint64
+	err     error
+}
+
+// createOnce writes the row under the first key, and under each further one once the write
+// before it has failed or has been without an answer for spareWriteDelay. It returns the
+// first success or conflict. Otherwise it returns the last error, with the verdict
+// MayHaveRun if one of the writes may take effect.
+func (g *Gateway) createOnce(ctx context.Context, value []byte, keys []string) writeResult {
+	results := make(chan writeResult, len(keys))
+	outcome, started, ended := verdict.NotRun, 0, 0
+	var last writeResult
+	for ended < len(keys) {
+		var patience <-chan time.Time
+		if started < len(keys) && started == ended {
+			key := keys[started]
+			started++
+			go func() { results <- g.write(ctx, key, value) }()
+		}
+		if started < len(keys) {
+			patience = time.After(spareWriteDelay)
+		}
+		select {
+		case last = <-results:
+			ended++
+			var conflict *rowstore.Conflict
+			if last.err == nil || errors.As(last.err, &conflict) {
+				return last
+			}
+			if verdict.Of(last.err) != verdict.NotRun {
+				outcome = verdict.MayHaveRun
+			}
+		case <-patience:
+			key := keys[started]
+			started++
+			go func() { results <- g.write(ctx, key, value) }()
+		}
+	}
+	last.err = verdict.From(last.err).WithVerdict(outcome)
+	return last
+}
+
+func (g *Gateway) write(ctx context.Context, key string, value []byte) writeResult {
+	version, err := g.opts.Store.Commit(ctx, rowstore.Txn{
+		Checks: []rowstore.Check{{Table: g.opts.Table, Key: key}},
+		Puts:   []rowstore.Put{{Table: g.opts.Table, Key: key, Value: value}},
+	})
+	return writeResult{key, version, err}
+}
+
 // State returns the state of a job of the queue, and false if the queue has no such
 // job.
 func (g *Gateway) State(ctx context.Context, q *Queue, id string) (workflow.State, bool, error) {
@@ -269,9 +324,8 @@
 	if state.Final() {
 		return true, nil
 	}
-	key := workflow.CancelPrefix + id
 	value := []byte(`{}`)
-	version, err := g.createRow(ctx, key, value)
+	key, version, err := g.createRow(ctx, value, workflow.CancelPrefix+id)
 	var conflict *rowstore.Conflict
 	if errors.As(err, &conflict) {
 		return true, nil
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -129,6 +129,59 @@
 	})
 }
 
+// Guards against submissions that fail for seconds because the partition of the job's row
+// is down, while the store serves the others (kalstaly-pier, trouble-2: requests were held
+// until their clients left). The job must be one job, whatever is sent again later.
+func TestSubmissionUsesSparePartition(t *testing.T) {
+	home := map[string]bool{workflow.Partition(workflow.RecordPrefix + jobID): true}
+	for _, c := range []struct {
+		name   string
+		faults rowstorestub.Faults
+		limit  time.Duration
+	}{
+		{"down", rowstorestub.Faults{DownPartitions: home}, 100 * time.Millisecond},
+		{"silent", rowstorestub.Faults{SilentPartitions: home}, spareWriteDelay + 100*time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withTwoGateways(t, func(ctx context.Context, store *rowstorestub.Table, a, b *Gateway) {
+				store.SetFaults(c.faults)
+				start := time.Now()
+				if err := a.Submit(withTimeout(ctx, 3*time.Second), testQueue, "x", jobID, testSpec); err != nil || time.Since(start) > c.limit {
+					t.Fatalf("submission: %v after %v, want success within %v", err, time.Since(start), c.limit)
+				}
+				if err := b.Submit(withTimeout(ctx, 3*time.Second), testQueue, "x", jobID, testSpec); err != nil {
+					t.Errorf("repeated submission at the other entry: %v", err)
+				}
+				store.SetFaults(rowstorestub.Faults{})
+				if _, stored, err := store.ClientFor("x").Get(ctx, tableName, workflow.RecordPrefix+jobID); err != nil || stored {
+					t.Errorf("the usual row: stored %v, %v, want none", stored, err)
+				}
+				if state, known, err := b.State(ctx, testQueue, jobID); err != nil || !known || state != workflow.StateQueued || b.Pending(testQueue) != 1 {
+					t.Errorf("state %q, known %v, err %v, %d pending", state, known, err, b.Pending(testQueue))
+				}
+				fresh := New(Options{Store: store.ClientFor("c"), Mirror: rowstore.NewMirror(store.ClientFor("c"), tableName, eventlog.Discard(), nil), Table: tableName, Log: eventlog.Discard()})
+				fresh.opts.Mirror = rowstore.NewMirror(store.ClientFor("c"), tableName, eventlog.Discard(), fresh.Observe)
+				if _, known, err := fresh.State(ctx, testQueue, jobID); err != nil || !known {
+					t.Errorf("an entry that has read nothing yet: known %v, %v", known, err)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a refusal that says NotRun although one of the two writes of a record may
+// take effect later.
+func TestSpareWriteKeepsUnknownOutcome(t *testing.T) {
+	withTwoGateways(t, func(ctx context.Context, store *rowstorestub.Table, a, _ *Gateway) {
+		store.SetFaults(rowstorestub.Faults{SilentPartitions: map[string]bool{
+			workflow.Partition(workflow.RecordPrefix + jobID): true, workflow.Partition(workflow.SpareRecordPrefix + jobID): true,
+		}})
+		if err := a.Submit(withTimeout(ctx, 2*time.Second), testQueue, "x", jobID, testSpec); err == nil || verdict.Of(err) == verdict.NotRun {
+			t.Errorf("submission without an answer: %v, want an unknown outcome", err)
+		}
+	})
+}
+
 // Guards against a request that blocks until the client's deadline when the outcome
 // of a write is unknown and the store becomes unavailable.
 func TestSubmitStopsRetryingWhenStoreIsLost(t *testing.T) {
--- a/internal/logaccount/account.go
+++ b/internal/logaccount/account.go
@@ -33,6 +33,7 @@
 	StartUnconfirmed Cause = "start unanswered or rejected"
 	SlowRun          Cause = "slow run"
 	RecordedLate     Cause = "end recorded late"
+	Cancelled        Cause = "cancelled by its client"
 	StillRunning     Cause = "not ended in the log"
 	Unknown          Cause = "unknown"
 )
@@ -426,6 +427,8 @@
 		return Preempted
 	case r.why == "worker leaves":
 		return WorkerLeft
+	case r.why == "cancelled" || j.cancelled:
+		return Cancelled
 	case strings.HasPrefix(r.why, "rejected"), strings.Contains(r.why, "did not start"), strings.Contains(r.why, "did not start whole"):
 		return StartUnconfirmed
 	case r.how == "failed":
--- a/internal/rowstorestub/rowstorestub.go
+++ b/internal/rowstorestub/rowstorestub.go
@@ -20,6 +20,9 @@
 	// Down refuses all calls. Silent leaves all calls without a response until
 	// their context ends.
 	Down, Silent bool
+	// DownPartitions and SilentPartitions have the partitions to which reads and writes of
+	// rows are refused, or stay without a response until their context ends.
+	DownPartitions, SilentPartitions map[string]bool
 	// RefusedProcesses has the processes whose calls are refused.
 	RefusedProcesses map[string]bool
 	// LoseEveryNth = n loses the response to every n-th transaction, which still
@@ -124,11 +127,34 @@
 	return nil
 }
 
+// applyPartitionFaults returns an error if the call for a row must not proceed.
+func (c *client) applyPartitionFaults(ctx context.Context, key string) error {
+	if c.table.Partition == nil {
+		return nil
+	}
+	c.table.mu.Lock()
+	f := c.table.faults
+	c.table.mu.Unlock()
+	if f.SilentPartitions[c.table.Partition(key)] {
+		<-ctx.Done()
+		return rowstore.Unavailable(verdict.MayHaveRun, "no answer")
+	}
+	if f.DownPartitions[c.table.Partition(key)] {
+		return rowstore.Unavailable(verdict.MayHaveRun, "connection reset")
+	}
+	return nil
+}
+
 // Commit implements rowstore.Store.
 func (c *client) Commit(ctx context.Context, txn rowstore.Txn) (uint64, error) {
 	if err := c.applyFaults(ctx); err != nil {
 		return 0, err
 	}
+	if len(txn.Checks) > 0 {
+		if err := c.applyPartitionFaults(ctx, txn.Checks[0].Key); err != nil {
+			return 0, err
+		}
+	}
 	c.table.mu.Lock()
 	c.table.commitCount++
 	lose := c.table.faults.LoseEveryNth > 0 && c.table.commitCount%c.table.faults.LoseEveryNth == 0
@@ -229,6 +255,9 @@
 	if err := c.applyFaults(ctx); err != nil {
 		return rowstore.Row{}, false, err
 	}
+	if err := c.applyPartitionFaults(ctx, key); err != nil {
+		return rowstore.Row{}, false, err
+	}
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	r, ok := c.table.rows[rowstore.Ref{Table: table, Key: key}]
--- a/internal/workflow/rows.go
+++ b/internal/workflow/rows.go
@@ -9,9 +9,12 @@
 // Key prefixes of the rows in the system's table. A job has a record and a cancellation
 // row, which an entry creates once, and a progress row, which only the owner writes.
 const (
-	RecordPrefix   = "job/"
-	CancelPrefix   = "cancel/"
-	ProgressPrefix = "progress/"
+	RecordPrefix = "job/"
+	// SpareRecordPrefix is the prefix of a record that could not be written to the partition
+	// of its usual row. A job may have both rows, with the same specification.
+	SpareRecordPrefix = "spare-job/"
+	CancelPrefix      = "cancel/"
+	ProgressPrefix    = "progress/"
 	// WorkerPrefix is the prefix of the rows of workers that may run tasks, EntryPrefix
 	// that of the rows of entries.
 	WorkerPrefix = "worker/"
@@ -40,12 +43,16 @@
 // partition with the empty name.
 func Partition(key string) string {
 	prefix, name := SplitKey(key)
-	if prefix != RecordPrefix {
+	if prefix != RecordPrefix && prefix != SpareRecordPrefix {
 		return ""
 	}
 	h := fnv.New32a()
 	h.Write([]byte(name)) // never returns an error
-	return recordPartitionName(int(h.Sum32() % recordPartitionCount))
+	n := int(h.Sum32() % recordPartitionCount)
+	if prefix == SpareRecordPrefix {
+		n = (n + recordPartitionCount/2) % recordPartitionCount
+	}
+	return recordPartitionName(n)
 }
 
 func recordPartitionName(n int) string { return "jobs" + strconv.Itoa(n) }
--- a/internal/workflowowner/collect.go
+++ b/internal/workflowowner/collect.go
@@ -14,8 +14,8 @@
 	// gcClockMargin is added to the time for which ended jobs are kept, to allow for
 	// differences between the clocks of entries.
 	gcClockMargin = 30 * time.Second
-	// gcBatchJobs is the maximum number of jobs in a transaction. A job has up to three
-	// rows, each with a check and a delete.
+	// gcBatchJobs is the maximum number of jobs in a transaction, of each of which it has up
+	// to two rows, each with a check and a delete.
 	gcBatchJobs = 15
 )
 
@@ -61,8 +61,10 @@
 	records := map[string][]string{} // by partition
 	var keys []string
 	for _, id := range ids {
-		record := workflow.RecordPrefix + id
-		records[workflow.Partition(record)] = append(records[workflow.Partition(record)], record)
+		for _, prefix := range []string{workflow.RecordPrefix, workflow.SpareRecordPrefix} {
+			part := workflow.Partition(prefix + id)
+			records[part] = append(records[part], prefix+id)
+		}
 		keys = append(keys, workflow.CancelPrefix+id, workflow.ProgressPrefix+id)
 	}
 	for _, part := range records {
--- a/internal/workflowowner/owner.go
+++ b/internal/workflowowner/owner.go
@@ -244,7 +244,7 @@
 func (o *Owner) observeRow(r rowstore.Row) {
 	prefix, name := workflow.SplitKey(r.Key)
 	switch prefix {
-	case workflow.RecordPrefix:
+	case workflow.RecordPrefix, workflow.SpareRecordPrefix:
 		o.observeRecord(name, r)
 	case workflow.CancelPrefix:
 		if j := o.jobs[name]; j != nil && !r.Deleted {
@@ -269,6 +269,11 @@
 		return
 	}
 	if j != nil && j.record != nil {
+		if r.Version < j.recordVersion {
+			// The job has two rows. An earlier owner knew it if it could have read one.
+			j.recordVersion = r.Version
+			j.inherited = j.inherited || r.Version <= o.opts.Version
+		}
 		return
 	}
 	rec := &workflow.Record{}
--- a/internal/workflowowner/owner_test.go
+++ b/internal/workflowowner/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -227,6 +228,29 @@
 	})
 }
 
+// TestJobWithTwoRowsIsInherited guards against a second run of a task whose job has a spare
+// row that an earlier owner could read, and a usual row that was written late.
+func TestJobWithTwoRowsIsInherited(t *testing.T) {
+	for _, lateFirst := range []bool{false, true} {
+		o := busyOwner(t, 0, 0)
+		o.opts.Version = 10
+		rows := []rowstore.Row{
+			{Table: testTable, Key: workflow.SpareRecordPrefix + testJob, Version: 5},
+			{Table: testTable, Key: workflow.RecordPrefix + testJob, Version: 15},
+		}
+		if lateFirst {
+			slices.Reverse(rows)
+		}
+		for _, r := range rows {
+			r.Value = (&harness{t: t}).recordRow(testJob, newStep(1)).Value
+			o.observe(r)
+		}
+		if j := o.jobs[testJob]; j == nil || !j.inherited || j.recordVersion != 5 {
+			t.Errorf("late row first %v: job %+v, want one that is inherited, of version 5", lateFirst, j)
+		}
+	}
+}
+
 // TestSilentWorkerDelaysInheritedJobs guards against a second run of a task that may
 // still run on a worker which does not report to a new owner, and against waiting
 // longer than the worker's lease.
@@ -385,13 +409,18 @@
 func TestOldJobsAreRemoved(t *testing.T) {
 	runOwner(t, func(r *harness) {}, func(r *harness) {
 		r.submit(testJob, newStep(1))
+		r.table.Put(testTable, workflow.SpareRecordPrefix+testJob, r.recordRow(testJob, newStep(1)).Value)
 		got := r.awaitStarts("w", "a", 1, time.Second)
 		r.report("w", "a", 1, func(a *workflowrpc.SyncArgs) {
 			a.Ends = []workflowrpc.End{{Seq: 1, ID: got[0].ID, Kind: workflow.EndDone}}
 		})
 		stored := func() bool {
-			_, ok, err := r.table.ClientFor("test").Get(r.t.Context(), testTable, workflow.RecordPrefix+testJob)
-			return ok && err == nil
+			_, usual, err := r.table.ClientFor("test").Get(r.t.Context(), testTable, workflow.RecordPrefix+testJob)
+			_, spare, err2 := r.table.ClientFor("test").Get(r.t.Context(), testTable, workflow.SpareRecordPrefix+testJob)
+			if usual != spare {
+				t.Error("only one of the two rows is stored")
+			}
+			return usual && err == nil && err2 == nil
 		}
 		time.Sleep(time.Minute)
 		if !stored() {
