Refuse an outcome of a gang that has finished without a result

Cause: the owner dereferenced the missing result, under its lock; net/rpc does not contain panics, so that one malformed message ended the process of an entry.

Change: such an outcome is refused as a bad request; the gang's result is still accepted. TestFinishedGangWithoutResultIsRefused does not end before: the panic leaves the lock.

--- a/internal/owner/outcome.go
+++ b/internal/owner/outcome.go
@@ -17,10 +17,13 @@
 // GangFinished processes the outcome of a gang, reported by its rank 0, and
 // reports whether the outcome is durable, so that the agent may forget it.
 func (o *Owner) GangFinished(ctx context.Context, out structs.GangOutcome) (bool, error) {
-	if out.Result != nil {
+	switch {
+	case out.Result != nil:
 		if err := out.Result.Check(); err != nil {
 			return false, err
 		}
+	case out.Phase == structs.PhaseFinished:
+		return false, verdict.New(verdict.MayHaveRun, verdict.CodeBadRequest, "gang %s has finished without a result", out.Gang.ID)
 	}
 	o.mu.Lock()
 	if o.stopped {
