--- a/internal/logaccount/account.go
+++ b/internal/logaccount/account.go
@@ -71,9 +71,10 @@
 // Segment is a part of the time on the chain of work that ended last. The cause is empty
 // for work.
 type Segment struct {
-	Cause    Cause     `json:"cause,omitempty"`
-	From, To time.Time `json:"-"`
-	Detail   string    `json:"detail"`
+	Cause  Cause     `json:"cause,omitempty"`
+	From   time.Time `json:"from"`
+	To     time.Time `json:"to"`
+	Detail string    `json:"detail"`
 }
 
 // Account is the account of a deployment.
--- /dev/null
+++ b/internal/workflowowner/takeover_test.go
@@ -0,0 +1,117 @@
+package workflowowner
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/parsleypier/parsleypier/internal/rowstore"
+	"github.com/parsleypier/parsleypier/internal/workflow"
+	"github.com/parsleypier/parsleypier/internal/workflowrpc"
+)
+
+// TestAgentsAreToldOfExpectedWorkers guards against inherited jobs that wait for a worker
+// of which a restarted agent does not know, and against a wait that goes on although the
+// agent has reported that the worker has ended.
+func TestAgentsAreToldOfExpectedWorkers(t *testing.T) {
+	runOwner(t, func(r *harness) {
+		r.submit(testJob, newStep(1))
+		r.putWorkerRow("old", "10.0.0.2:80", 1)
+	}, func(r *harness) {
+		time.Sleep(awaitedReannounceInterval + tickInterval)
+		if told := r.caller.toldWorkers("agent-old"); len(told) != 1 || told[0].ID != "old" || told[0].Incarnation != 1 || told[0].Addr != "10.0.0.2:80" || told[0].Rack != "r" {
+			t.Fatalf("the agent is told of %+v, want the worker of the row", told)
+		}
+		if got := r.awaitStarts("w", "10.0.0.1:80", 1, time.Second); len(got) != 0 {
+			t.Fatalf("starts %v while the other worker may run the task", got)
+		}
+		r.report("old", "10.0.0.2:80", 1, func(args *workflowrpc.SyncArgs) { args.Worker.Gone, args.Fence = true, 0 })
+		if got := r.awaitStarts("w", "10.0.0.1:80", 1, time.Second); len(got) != 1 {
+			t.Fatalf("starts %v within 1 s after the other worker was gone, want one", got)
+		}
+	})
+}
+
+// TestUnconfirmedWorkerReceivesNoStarts guards against a start on a draining worker: its
+// restarted agent does not know its state before its next heartbeat.
+func TestUnconfirmedWorkerReceivesNoStarts(t *testing.T) {
+	runOwner(t, func(*harness) {}, func(r *harness) {
+		r.submit(testJob, newStep(1))
+		for range 5 {
+			if reply := r.report("w", "10.0.0.1:80", 1, func(args *workflowrpc.SyncArgs) { args.Worker.Unconfirmed = true }); len(reply.Start) > 0 {
+				t.Fatalf("starts %v on an unconfirmed worker", reply.Start)
+			}
+		}
+		if got := r.awaitStarts("w", "10.0.0.1:80", 1, time.Second); len(got) != 1 {
+			t.Fatalf("starts %v after the worker is confirmed, want one", got)
+		}
+	})
+}
+
+// TestJobWithTwoRowsIsInherited guards against a second run of a task whose job has a spare
+// row that an earlier owner could read, and a usual row that was written late.
+func TestJobWithTwoRowsIsInherited(t *testing.T) {
+	for _, lateFirst := range []bool{false, true} {
+		o := busyOwner(t, 0, 0)
+		o.opts.Version = 10
+		rows := []rowstore.Row{
+			{Table: testTable, Key: workflow.SpareRecordPrefix + testJob, Version: 5},
+			{Table: testTable, Key: workflow.RecordPrefix + testJob, Version: 15},
+		}
+		if lateFirst {
+			slices.Reverse(rows)
+		}
+		for _, r := range rows {
+			r.Value = (&harness{t: t}).recordRow(testJob, newStep(1)).Value
+			o.observe(r)
+		}
+		if j := o.jobs[testJob]; j == nil || !j.inherited || j.recordVersion != 5 {
+			t.Errorf("late row first %v: job %+v, want one that is inherited, of version 5", lateFirst, j)
+		}
+	}
+}
+
+// TestReplacedWorkerIsNotWaitedFor guards against waiting for the leases of a worker
+// whose machine has already started a new one. After a power loss of all machines, no
+// work ran for 10 s.
+func TestReplacedWorkerIsNotWaitedFor(t *testing.T) {
+	runOwner(t, func(r *harness) {
+		r.submit(testJob, newStep(1))
+		r.putWorkerRow("old", "10.0.0.1:80", 1)
+	}, func(r *harness) {
+		if got := r.awaitStarts("new", "10.0.0.1:80", 2, time.Second); len(got) != 1 {
+			t.Fatalf("starts %v within 1 s, want the job's task", got)
+		}
+	})
+}
+
+// TestSilentWorkerDelaysInheritedJobs guards against a second run of a task that may
+// still run on a worker which does not report to a new owner, and against waiting
+// longer than the worker's lease.
+func TestSilentWorkerDelaysInheritedJobs(t *testing.T) {
+	runOwner(t, func(r *harness) {
+		r.submit(testJob, newStep(1))
+		r.putWorkerRow("other", "10.0.0.2:80", 1)
+	}, func(r *harness) {
+		began := time.Now()
+		got := r.awaitStarts("w", "10.0.0.1:80", 1, 20*time.Second)
+		waited := time.Since(began)
+		if len(got) != 1 || waited < testLease || waited > testLease+time.Second {
+			t.Fatalf("starts %v after %v, want one after the lease of %v", got, waited, testLease)
+		}
+		if got[0].ID.Attempt <= 1 {
+			t.Fatalf("attempt %d may have been used by an earlier owner", got[0].ID.Attempt)
+		}
+	})
+}
+
+// TestNewJobsDoNotWaitForSilentWorkers guards against jobs that wait for a silent
+// worker although no earlier owner can have started them.
+func TestNewJobsDoNotWaitForSilentWorkers(t *testing.T) {
+	runOwner(t, func(r *harness) { r.putWorkerRow("other", "10.0.0.2:80", 1) }, func(r *harness) {
+		r.submit(testJob, newStep(1))
+		if got := r.awaitStarts("w", "10.0.0.1:80", 1, time.Second); len(got) != 1 || got[0].ID.Attempt != 1 {
+			t.Fatalf("starts %v within 1 s, want attempt 1", got)
+		}
+	})
+}
