Report how workers end and how old their runs are at a crash

The logs showed each ended worker as gone, and each of its runs as lost: a crash, a planned end and a lost machine looked alike, and nothing named the run that may have crashed the worker. Agents now report the kind of end, and for each run the time between the first start call that the worker may have carried out and the first call that failed. The owner logs worker_crashed with the runs, newest first, gives the age in the reason of run_ended, and counts worker ends by kind. No decision changes.

--- a/internal/workflowagent/agent.go
+++ b/internal/workflowagent/agent.go
@@ -87,7 +87,7 @@
 	switch {
 	case old == nil || old.isGone() && old.incarnation == w.Incarnation && old.lastHeartbeatSeq() < seq || old.incarnation < w.Incarnation:
 		if old != nil {
-			old.markGone("a newer incarnation has reported")
+			old.markGone(false, "a newer incarnation has reported")
 		}
 		a.startSession(w, addr, seq)
 		a.opts.Log.Event("worker_found", "worker", w.ID, "incarnation", w.Incarnation, "addr", addr, "draining", w.Draining,
@@ -103,7 +103,7 @@
 	s := a.sessions[worker]
 	a.mu.Unlock()
 	if s != nil {
-		s.markGone("the worker has left")
+		s.markGone(true, "the worker has left")
 	}
 }
 
@@ -250,7 +250,7 @@
 	if a.sessions[w.ID] != nil || !sameHost(w.Addr, a.opts.Addr) || a.ctx.Err() != nil {
 		return
 	}
-	w.Unconfirmed, w.Draining, w.Gone = true, false, false
+	w.Unconfirmed, w.Draining, w.Gone, w.End = true, false, false, ""
 	a.opts.Log.Event("worker_expected", "worker", w.ID, "incarnation", w.Incarnation, "addr", w.Addr)
 	a.startSession(w, w.Addr, 0)
 }
--- a/internal/workflowagent/orders.go
+++ b/internal/workflowagent/orders.go
@@ -93,6 +93,10 @@
 			Deadline: s.workerClock(now) + startValidity,
 		}
 		s.lastStartSent = now
+		firstCall := r.sentAt == 0
+		if firstCall {
+			r.sentAt = now
+		}
 		s.mu.Unlock()
 		if refuse != "" {
 			reason = refuse
@@ -102,11 +106,15 @@
 		answer, err := s.api.Start(limited, call)
 		cancel()
 		if errors.Is(err, ErrOtherIncarnation) {
-			s.markGone(err.Error())
+			s.markGone(false, err.Error())
 			return
 		}
 		s.mu.Lock()
 		if err != nil {
+			s.recordFailure(err)
+			if firstCall && errors.Is(err, ErrNotListening) {
+				r.sentAt = 0 // the call has not reached the worker
+			}
 			r.startUnanswered = true
 			s.mu.Unlock()
 			s.agent.opts.Log.Event("start_unanswered", "run", order.ID.String(), "job", order.ID.Task.Job, "worker", s.id, "err", err.Error())
@@ -176,7 +184,7 @@
 			return true
 		}
 		if errors.Is(err, ErrOtherIncarnation) {
-			s.markGone(err.Error())
+			s.markGone(false, err.Error())
 			return false
 		}
 		retry.Sleep(ctx, retry.Jitter(2*retryDelay))
@@ -199,7 +207,7 @@
 			return true
 		}
 		if errors.Is(err, ErrOtherIncarnation) {
-			s.markGone(err.Error())
+			s.markGone(false, err.Error())
 			return false
 		}
 		if delay == retryDelay {
--- a/internal/workflowagent/session.go
+++ b/internal/workflowagent/session.go
@@ -39,6 +39,9 @@
 	reason     string
 	checkpoint string
 	percent    int
+	// sentAt is when the first start call was sent that the worker may have carried out,
+	// or else when a listing first showed the run; it is on the agent's clock, 0 for none.
+	sentAt time.Duration
 	// confirmedAt is when the worker confirmed the start, zero before. A listing that
 	// is requested later must have the run or its end.
 	confirmedAt time.Time
@@ -83,6 +86,9 @@
 	lastAnswer    time.Time // when the worker last answered
 	silent        bool      // no answer for silentAfter
 	gone          bool      // this incarnation of the worker has ended
+	// failedSince is when the first call failed since the last answer, endedAt when the
+	// worker ended; both are on the agent's clock, 0 for none.
+	failedSince, endedAt time.Duration
 	// refusedSince is when the worker's address began to refuse connections, zero if
 	// it does not.
 	refusedSince time.Time
@@ -156,15 +162,18 @@
 	}
 }
 
-// markGone records that this incarnation of the worker has ended.
-func (s *session) markGone(why string) {
+// markGone records that this incarnation of the worker has ended. announced says that the
+// worker itself has reported its end.
+func (s *session) markGone(announced bool, why string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.gone {
 		return
 	}
 	s.gone = true
-	s.agent.opts.Log.Event("worker_gone", "worker", s.id, "incarnation", s.incarnation, "why", why, "runs", len(s.runs))
+	s.recordEnd(announced)
+	s.agent.opts.Log.Event("worker_gone", "worker", s.id, "incarnation", s.incarnation, "end", s.worker.End, "why", why, "runs", len(s.runs),
+		"detectedAfterMs", (s.agent.opts.Clock() - s.endedAt).Milliseconds())
 	signal(s.reportNow)
 	signal(s.holdNow)
 	s.cancelHold()
@@ -197,7 +206,7 @@
 		}
 		if err := s.hold(ctx, wait); err != nil {
 			if errors.Is(err, ErrOtherIncarnation) || s.refusedTooLong() {
-				s.markGone(err.Error())
+				s.markGone(false, err.Error())
 				return
 			}
 			retry.Sleep(ctx, retry.Jitter(2*retryDelay))
@@ -257,6 +266,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.renewalUnanswered = true
+	s.recordFailure(err)
 	switch {
 	case !errors.Is(err, ErrNotListening):
 		s.refusedSince = time.Time{}
@@ -301,7 +311,7 @@
 // must be held.
 func (s *session) recordAnswer(clock time.Duration) {
 	now := time.Now()
-	s.lastAnswer, s.renewalUnanswered, s.refusedSince = now, false, time.Time{}
+	s.lastAnswer, s.renewalUnanswered, s.refusedSince, s.failedSince = now, false, time.Time{}, 0
 	if s.silent {
 		s.silent = false
 		s.agent.opts.Log.Event("worker_regained", "worker", s.id, "incarnation", s.incarnation)
@@ -357,7 +367,7 @@
 		present[r.ID] = true
 		local := s.runs[r.ID]
 		if local == nil {
-			local = &localRun{state: workflowrpc.RunRunning}
+			local = &localRun{state: workflowrpc.RunRunning, sentAt: s.agent.opts.Clock()}
 			s.runs[r.ID] = local
 			changed = true
 		}
--- a/internal/workflowagent/sync.go
+++ b/internal/workflowagent/sync.go
@@ -95,7 +95,7 @@
 		Ends: append([]workflowrpc.End(nil), s.pendingEnds...), Wait: syncWait, EntriesVersion: entries,
 	}
 	for id, r := range s.runs {
-		run := workflowrpc.Run{ID: id, State: r.state, Reason: r.reason, Checkpoint: r.checkpoint, Percent: r.percent}
+		run := workflowrpc.Run{ID: id, State: r.state, Reason: r.reason, Checkpoint: r.checkpoint, Percent: r.percent, AgeAtCrash: s.ageAtCrash(r)}
 		args.Runs = append(args.Runs, run)
 	}
 	return args, true
--- a/internal/workflowowner/job.go
+++ b/internal/workflowowner/job.go
@@ -111,6 +111,9 @@
 	// percent is the last reported progress, percentAt when it last increased.
 	percent   int
 	percentAt time.Duration
+	// ageAtCrash is how long before the crash of the worker the run may have begun; 0 if
+	// the worker has not crashed, or cannot have begun the run.
+	ageAtCrash time.Duration
 	// stopReason is why the run is being stopped; empty if it is not.
 	stopReason string
 }
--- a/internal/workflowowner/metrics.go
+++ b/internal/workflowowner/metrics.go
@@ -14,6 +14,7 @@
 	waitDecisions  = subMap("waits")         // changes of the reason why a step waits, by new reason
 	takeovers      = new(expvar.Int)         // owners started
 	stopsOrdered   = new(expvar.Int)         // runs that were ordered to stop
+	workerEnds     = subMap("worker_ends")   // ended workers, by how they ended
 	lostRuns       = new(expvar.Int)         // runs lost because their worker ended or its leases expired
 	writeLatency   = subMap("write_latency") // writes to the store, by upper bound
 	decisionTime   = subMap("decision_time") // decisions including the resulting orders, by upper bound
--- a/internal/workflowowner/worker.go
+++ b/internal/workflowowner/worker.go
@@ -196,7 +196,7 @@
 		if !r.job.progress.State.Final() {
 			r.job.progress.RecordEnd(&r.job.record.Spec, r.id, workflow.EndLost, r.checkpoint)
 		}
-		o.endRun(r, workflow.EndLost, why)
+		o.endRun(r, workflow.EndLost, r.lossReason(why))
 	}
 	clear(w.unwantedRuns)
 	w.pendingEnds = nil
@@ -235,7 +235,8 @@
 		signal(o.wakeDecide)
 	}
 	if args.Worker.Gone {
-		o.removeWorker(w, "gone")
+		o.logCrash(w, args)
+		o.removeWorker(w, cmp.Or(string(args.Worker.End), "gone"))
 		return
 	}
 	for !o.fillOrders(w, args, rejected, reply) {
@@ -320,6 +321,7 @@
 
 // removeWorker marks a worker as ended. Its row is removed later.
 func (o *Owner) removeWorker(w *worker, why string) {
+	workerEnds.Add(why, 1)
 	o.loseRuns(w, why)
 	w.lost, w.lastReply = true, time.Now()
 	o.opts.Log.Event("worker_removed", "worker", w.id, "why", why)
@@ -331,7 +333,7 @@
 func (o *Owner) removeReplaced(w *worker) {
 	for _, other := range o.workers {
 		if other != w && other.info.Addr != "" && other.info.Addr == w.info.Addr && other.incarnation < w.incarnation && !other.lost {
-			o.removeWorker(other, "replaced by "+w.id)
+			o.removeWorker(other, "replaced")
 		}
 	}
 }
--- a/internal/workflowrpc/workflowrpc.go
+++ b/internal/workflowrpc/workflowrpc.go
@@ -41,8 +41,10 @@
 	// Unconfirmed is set until the worker has reported to this process of its agent.
 	// The description is then an earlier one, and no new runs may be started.
 	Unconfirmed bool
-	// Gone is set if this incarnation of the worker has ended; nothing runs on it.
+	// Gone is set if this incarnation of the worker has ended; nothing runs on it. End
+	// then says how.
 	Gone bool
+	End  WorkerEnd
 	// Silent is the time since the worker last answered its agent. It is 0 while
 	// the worker answers.
 	Silent time.Duration
@@ -51,6 +53,21 @@
 	Lapsed bool
 }
 
+// WorkerEnd is how an incarnation of a worker has ended, as far as its agent knows.
+type WorkerEnd string
+
+// Values of WorkerEnd.
+const (
+	// WorkerLeft is a planned end, which the worker has announced.
+	WorkerLeft WorkerEnd = "left"
+	// WorkerCrashed is the end of the worker's process without notice, while the process
+	// of its agent went on.
+	WorkerCrashed WorkerEnd = "crashed"
+	// WorkerVanished is the end of a worker that never answered this process of its agent.
+	// Its machine may have lost power.
+	WorkerVanished WorkerEnd = "vanished"
+)
+
 // RunState is the state of a run at its agent.
 type RunState string
 
@@ -75,6 +92,9 @@
 	Checkpoint string
 	// Percent is the progress of the task.
 	Percent int
+	// AgeAtCrash is how long before the crash of the worker the run may have begun. It is
+	// 0 if the worker has not crashed, or cannot have begun the run.
+	AgeAtCrash time.Duration
 }
 
 // End records how a run on the worker ended.
