Add a failing test for a task that crashes worker after worker

The simulation gets tasks that crash each worker that starts them 10 ms later. The worker's machine stays up, so its kernel refuses connections until the worker is back after 3 s. The history checks that such a task starts fewer than three times after its third crash.

--- a/internal/workflowdaemon/sim_client_test.go
+++ b/internal/workflowdaemon/sim_client_test.go
@@ -151,7 +151,7 @@
 				most = max(most, len(attempts))
 			}
 		}
-		if most < simMaxAttempts {
+		if most < simMaxAttempts && s.history.mostCrashes(id) < minSimCrashes {
 			s.history.addViolation("LOST: job %s is reported as failed after %d failed attempts", id, most)
 		}
 	case workflow.StateCancelled:
--- a/internal/workflowdaemon/sim_history_test.go
+++ b/internal/workflowdaemon/sim_history_test.go
@@ -13,7 +13,8 @@
 //   - TWICE: a task runs twice at a time, or again after it is done.
 //   - UNASKED: a task starts that was not submitted, was refused or is cancelled.
 //   - ORDER: a task starts before the steps that its step depends on are done.
-//   - BUDGET: a task starts after it has failed as often as its queue allows.
+//   - BUDGET: a task starts after it has failed as often as its queue allows, or for the
+//     third time after it has crashed three workers.
 //   - LOST: an accepted job does not end, or an entry reports a wrong state for
 //     it.
 //   - MIXED: a job is reported as completed before all its tasks are done.
@@ -32,10 +33,14 @@
 	done      map[workflow.TaskID]bool
 	discarded map[workflow.TaskID]bool
 	// failed holds the failed attempts of each task, or of a gang under index 0.
-	failed     map[workflow.TaskID]map[int]bool
-	starts     int
-	ends       map[workflow.EndKind]int
-	violations []string
+	failed map[workflow.TaskID]map[int]bool
+	// crashing has the tasks that crash each worker that starts them, with the number of
+	// crashes so far. startsAfterCrashes counts their starts after maxSimCrashes of them.
+	crashing           map[workflow.TaskID]int
+	startsAfterCrashes map[workflow.TaskID]int
+	starts             int
+	ends               map[workflow.EndKind]int
+	violations         []string
 }
 
 func newHistory() *history {
@@ -43,7 +48,7 @@
 		startedAt: time.Now(), specs: map[string]workflow.Spec{}, cancelled: map[string]time.Time{}, refused: map[string]bool{},
 		active: map[workflow.TaskID][]*simRun{}, done: map[workflow.TaskID]bool{},
 		discarded: map[workflow.TaskID]bool{}, failed: map[workflow.TaskID]map[int]bool{},
-		ends: map[workflow.EndKind]int{},
+		ends: map[workflow.EndKind]int{}, crashing: map[workflow.TaskID]int{}, startsAfterCrashes: map[workflow.TaskID]int{},
 	}
 }
 
@@ -80,6 +85,11 @@
 	if n := len(h.failed[h.failureUnit(t)]); n >= simMaxAttempts {
 		h.addViolation("BUDGET: %s started after %d failed attempts", r.id, n)
 	}
+	if n := h.crashing[t]; n >= maxSimCrashes {
+		if h.startsAfterCrashes[t]++; h.startsAfterCrashes[t] >= maxStartsAfterCrashes {
+			h.addViolation("BUDGET: %s started on %s, the start %d after %d crashes", r.id, r.worker.id, h.startsAfterCrashes[t], maxSimCrashes)
+		}
+	}
 	if at, ok := h.cancelled[t.Job]; ok && !r.startedLate && time.Since(at) > simCancelLimit {
 		h.addViolation("UNASKED: %s started %v after its cancellation", r.id, time.Since(at))
 	}
@@ -144,6 +154,15 @@
 	simStopGrace   = 200 * time.Millisecond
 	simGangWait    = 3 * time.Second
 	simMaxLease    = 6 * time.Second
+	// A crashing task may start fewer than maxStartsAfterCrashes times after it has crashed
+	// maxSimCrashes workers, and its job may be given up after minSimCrashes.
+	minSimCrashes         = 2
+	maxSimCrashes         = 3
+	maxStartsAfterCrashes = 3
+	// simCrashDelay is the time from the start of a crashing task to the crash, simRestart
+	// that from the crash until the worker is back.
+	simCrashDelay = 10 * time.Millisecond
+	simRestart    = 3 * time.Second
 )
 
 func (h *history) spec(job string) *workflow.Spec {
--- a/internal/workflowdaemon/sim_worker_test.go
+++ b/internal/workflowdaemon/sim_worker_test.go
@@ -54,6 +54,9 @@
 	// later.
 	lostCallShare float64
 	failAll       bool // every run that is started fails
+	// refusing is set while the machine is up and the worker's process is not, so that the
+	// kernel refuses connections.
+	refusing bool
 }
 
 // clock returns the worker's monotonic clock. It starts at 1 s, because agents ignore
@@ -63,7 +66,7 @@
 }
 
 func (w *simWorker) boot(now time.Time) {
-	w.incarnation, w.bootedAt, w.up = now.UnixMilli(), now, true
+	w.incarnation, w.bootedAt, w.up, w.refusing = now.UnixMilli(), now, true, false
 	w.highestFence, w.leaseEnd, w.ackedSeq = 0, 0, 0
 	w.free = workflow.Resources{CPUMilli: 64000, MemoryMB: 262144, GPUs: 8}
 	w.runs, w.finishedAttempt, w.unackedEnds, w.unackedDone = map[workflow.RunID]*simRun{}, map[workflow.TaskID]int{}, nil, map[uint64]workflow.TaskID{}
@@ -107,10 +110,13 @@
 // stopped worker.
 func (w *simWorker) maybeLoseCall(ctx context.Context, later func()) error {
 	w.mu.Lock()
-	up, lose := w.up, w.rng.Float64() < w.lostCallShare
+	up, refusing, lose := w.up, w.refusing, w.rng.Float64() < w.lostCallShare
 	delay := 2*time.Second + time.Duration(w.rng.Int64N(int64(10*time.Second)))
 	carriedOut := w.rng.Float64() < 0.7
 	w.mu.Unlock()
+	if refusing {
+		return workflowagent.ErrNotListening
+	}
 	if up && !lose {
 		return nil
 	}
@@ -181,6 +187,9 @@
 	w.runs[s.ID] = r
 	r.timer = time.AfterFunc(time.Hour, func() {})
 	w.history.recordStart(r)
+	if w.history.crashesWorkers(s.ID.Task) {
+		time.AfterFunc(simCrashDelay, func() { w.crashByRun(r) })
+	}
 	if spec != nil && spec.Steps[s.ID.Task.Step].Gang {
 		r.waitingForGang.Store(true)
 		r.timer = time.AfterFunc(simGangWait, func() { w.finishRun(r, workflow.EndGangIncomplete) })
