Repeat the report of a crash until it is stored

A crash was known only to the owner that got the agent's report, until its next write.

The owner now answers the report of an ended worker once the crash is stored, or asks for it again after the usual wait; the agent keeps the ended worker until then and reports it to whoever is owner. Repeated reports count once, by worker and incarnation.

--- a/internal/logaccount/account.go
+++ b/internal/logaccount/account.go
@@ -23,6 +23,7 @@
 	WaitedReserved   Cause = "waited for reserved room"
 	WaitedStops      Cause = "waited for stops"
 	WaitedWorker     Cause = "waited: no usable worker"
+	WaitedIsolation  Cause = "waited to be kept apart after a crash"
 	Takeover         Cause = "takeover"
 	SilentWorker     Cause = "waited for a silent worker"
 	Preempted        Cause = "stopped for another job"
@@ -40,7 +41,7 @@
 
 // waitCauses maps the reasons of step_waits events.
 var waitCauses = map[string]Cause{
-	"no_room": WaitedRoom, "rack": WaitedRack, "reserved": WaitedReserved, "preempting": WaitedStops, "never_fits": WaitedRoom, "no_worker": WaitedWorker,
+	"no_room": WaitedRoom, "rack": WaitedRack, "reserved": WaitedReserved, "preempting": WaitedStops, "never_fits": WaitedRoom, "no_worker": WaitedWorker, "isolation": WaitedIsolation,
 }
 
 // Job is the account of one job.
--- a/internal/workflow/progress.go
+++ b/internal/workflow/progress.go
@@ -15,14 +15,17 @@
 	// Checkpoints has the last known checkpoint token by task index. A gang uses index
 	// 0.
 	Checkpoints map[int]string `json:"checkpoints,omitempty"`
+	// Crashes lists the workers that crashed under a task, by task index, each once. The
+	// members of a gang are counted by themselves.
+	Crashes map[int][]Crash `json:"crashes,omitempty"`
 }
 
 // StepID identifies a step of an occurrence.
 type StepID struct{ Occurrence, Step int }
 
 // Progress is the mutable state of a job: the value of a row that only the owner of the
-// deployment writes. Completed tasks and failed attempts are only added, never removed,
-// so that two versions can be merged.
+// deployment writes. Completed tasks, failed attempts and crashes are only added, never
+// removed, so that two versions can be merged.
 type Progress struct {
 	// Begun is set once any task has started.
 	Begun bool  `json:"begun,omitempty"`
@@ -38,7 +41,10 @@
 	c := *p
 	c.Parts = make(map[int]*StepProgress, len(p.Parts))
 	for k, v := range p.Parts {
-		c.Parts[k] = &StepProgress{Done: slices.Clone(v.Done), Failed: maps.Clone(v.Failed), Checkpoints: maps.Clone(v.Checkpoints)}
+		c.Parts[k] = &StepProgress{Done: slices.Clone(v.Done), Failed: maps.Clone(v.Failed), Checkpoints: maps.Clone(v.Checkpoints), Crashes: maps.Clone(v.Crashes)}
+		for i, crashes := range v.Crashes {
+			c.Parts[k].Crashes[i] = slices.Clone(crashes)
+		}
 		for i, attempts := range v.Failed {
 			c.Parts[k].Failed[i] = slices.Clone(attempts)
 		}
@@ -65,6 +71,11 @@
 				step.addFailed(i, attempt)
 			}
 		}
+		for i, crashes := range v.Crashes {
+			for _, c := range crashes {
+				step.addCrash(i, c)
+			}
+		}
 		for i, c := range v.Checkpoints {
 			if step.Checkpoints[i] == "" {
 				step.setCheckpoint(i, c)
@@ -189,12 +200,16 @@
 }
 
 // Outcome returns the final state that follows from the recorded ends, or "" if the job
-// continues. A task that has failed maxAttempts times fails its job; 0 means no limit.
+// continues. A task that has failed maxAttempts times fails its job; 0 means no limit. So
+// does a task that has crashed too many workers.
 func (p *Progress) Outcome(s *Spec, maxAttempts int) State {
 	done := true
 	for k := range s.OccurrenceCount() {
 		for i := range s.Steps {
 			id := StepID{k, i}
+			if p.StepProgress(s, id).givenUp(s.Steps[i].Persistent) {
+				return StateFailed
+			}
 			if s.Steps[i].Persistent {
 				done = false
 				continue
--- a/internal/workflowagent/agent_test.go
+++ b/internal/workflowagent/agent_test.go
@@ -151,6 +151,8 @@
 	startOrders []workflowrpc.Start
 	stopOrders  []workflow.RunID
 	lastSync    workflowrpc.SyncArgs
+	// reportAgain is the value of SyncReply.ReportAgain.
+	reportAgain bool
 	// replyDelay delays the replies beyond the timeout of the calls. For the agent
 	// this has the effect of a pause of its process after it received the reply.
 	replyDelay time.Duration
@@ -184,7 +186,7 @@
 		o.lastSync = *sync
 	}
 	r := reply.(*workflowrpc.SyncReply)
-	r.Epoch = o.epoch
+	r.Epoch, r.ReportAgain = o.epoch, o.reportAgain
 	known := map[workflow.RunID]bool{}
 	for _, run := range sync.Runs {
 		known[run.ID] = true
--- a/internal/workflowagent/crash_test.go
+++ b/internal/workflowagent/crash_test.go
@@ -102,3 +102,32 @@
 		})
 	}
 }
+
+// TestCrashIsReportedUntilOwnerHasStoredIt guards against a crash that is lost with the
+// owner that learned of it: the next owner has to get the report as well.
+func TestCrashIsReportedUntilOwnerHasStoredIt(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		h.orderStart(testRun(1))
+		time.Sleep(200 * time.Millisecond)
+		h.owner.mu.Lock()
+		h.owner.reportAgain = true
+		h.owner.mu.Unlock()
+		h.crash()
+		h.owner.mu.Lock()
+		h.owner.epoch, h.owner.lastSync = 4, workflowrpc.SyncArgs{} // another owner
+		h.owner.mu.Unlock()
+		time.Sleep(time.Second)
+		if age, ok := h.ageAtCrash(testRun(1)); !ok || age == 0 || !h.owner.lastReport().Worker.Gone {
+			t.Errorf("the next owner got the report %+v, want that of the crash", h.owner.lastReport())
+		}
+		h.owner.mu.Lock()
+		h.owner.reportAgain = false
+		h.owner.mu.Unlock()
+		time.Sleep(time.Second)
+		last := h.owner.lastReport().Seq
+		time.Sleep(2 * time.Second)
+		if h.owner.lastReport().Seq != last {
+			t.Error("the agent reports the crash for ever")
+		}
+	})
+}
--- a/internal/workflowagent/session.go
+++ b/internal/workflowagent/session.go
@@ -118,8 +118,8 @@
 	}
 }
 
-// run serves the session until the worker is gone and the owner knows it, or ctx
-// ends.
+// run serves the session until the worker is gone and the owner has stored what follows
+// from it, or ctx ends.
 func (s *session) run(ctx context.Context) {
 	defer s.api.Close()
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/workflowagent/sync.go
+++ b/internal/workflowagent/sync.go
@@ -139,7 +139,7 @@
 	s.processedSeq = r.seq
 	s.ownerContact = max(s.ownerContact, r.sent)
 	if s.gone {
-		return true
+		return !r.reply.ReportAgain
 	}
 	s.applyReply(ctx, r.reply, r.sent)
 	return false
--- a/internal/workflowdaemon/sim_test.go
+++ b/internal/workflowdaemon/sim_test.go
@@ -276,10 +276,11 @@
 	time.Sleep(15 * time.Second)
 }
 
-// runSimulation runs a deployment with clients and random faults. It returns the
+// runSimulation runs a deployment with clients and random faults. With crashes, some tasks
+// crash the workers that start them, and other workers crash by themselves. It returns the
 // rule violations, the number of faults of each kind and the number of task ends of
 // each kind.
-func runSimulation(t *testing.T, seed uint64) (violations []string, faults map[string]int, ends map[workflow.EndKind]int) {
+func runSimulation(t *testing.T, seed uint64, crashes bool) (violations []string, faults map[string]int, ends map[workflow.EndKind]int) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		s := newSim(ctx, t, seed)
@@ -291,12 +292,20 @@
 				faultInjectors.Go(s.injectFault)
 			}
 		})
+		crashRng := &lockedRand{rng: rand.New(rand.NewPCG(seed, 101))}
+		if crashes {
+			faultInjectors.Go(func() { s.crashWorkers(crashRng) })
+		}
 		for i := range 40 {
 			spec, queue := s.randomSpec(s.rng), "batch"
 			if s.rng.IntN(3) == 0 {
 				queue = "urgent"
 			}
 			id, cancelled := fmt.Sprintf("%016x", uint64(i)+seed<<16), s.rng.IntN(8) == 0
+			if crashes && crashRng.IntN(simCrashingJobs) == 0 {
+				step := crashRng.IntN(len(spec.Steps))
+				s.history.addCrashingTask(workflow.TaskID{Job: id, Step: step, Index: crashRng.IntN(spec.Steps[step].Tasks)})
+			}
 			clients.Go(func() { s.runClient(id, spec, queue, cancelled) })
 			s.sleep(time.Duration(s.rng.IntN(1200)) * time.Millisecond)
 		}
@@ -318,6 +327,9 @@
 		}
 		s.log.Close()
 		synctest.Wait()
+		for _, n := range s.history.crashing {
+			s.faultCounts[faultCrashByTask] += n
+		}
 		violations, faults, ends = s.history.violations, s.faultCounts, s.history.ends
 	})
 	return violations, faults, ends
@@ -349,6 +361,17 @@
 // entries, agents, network and workers. To repeat a failed seed set -sim.seed;
 // -sim.log writes its event log.
 func TestSimulationWithRandomFaults(t *testing.T) {
+	runSeeds(t, false)
+}
+
+// Guards against tasks that crash worker after worker, and against healthy jobs that are
+// given up because of other crashes, under the same random faults.
+func TestSimulationWithCrashingTasks(t *testing.T) {
+	runSeeds(t, true)
+}
+
+// runSeeds runs the simulation for the seeds of the flags.
+func runSeeds(t *testing.T, crashes bool) {
 	seeds := []uint64{*simSeed}
 	if *simSeed == 0 {
 		seeds = nil
@@ -362,7 +385,7 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			seedsRun++
-			violations, faults, ends := runSimulation(t, seed)
+			violations, faults, ends := runSimulation(t, seed, crashes)
 			done += ends[workflow.EndDone]
 			for k, n := range faults {
 				seen[k] += n
@@ -376,4 +399,7 @@
 	if len(seen) < 5 && seedsRun > 4 || done < 10*seedsRun {
 		t.Errorf("the simulations had only the faults %v and %d tasks done", seen, done)
 	}
+	if crashes && seedsRun > 4 && seen[faultCrashByTask] == 0 {
+		t.Error("no task crashed a worker")
+	}
 }
--- a/internal/workflowdaemon/sim_worker_test.go
+++ b/internal/workflowdaemon/sim_worker_test.go
@@ -57,6 +57,7 @@
 	// refusing is set while the machine is up and the worker's process is not, so that the
 	// kernel refuses connections.
 	refusing bool
+	reliable bool // no run fails by itself
 }
 
 // clock returns the worker's monotonic clock. It starts at 1 s, because agents ignore
@@ -182,7 +183,7 @@
 		r.duration = spec.Steps[s.ID.Task.Step].Estimate.Duration()
 	}
 	r.duration = time.Duration(float64(r.duration) * (0.5 + w.rng.Float64()))
-	r.fails = w.failAll || w.rng.Float64() < 0.03
+	r.fails = w.failAll || w.rng.Float64() < 0.03 && !w.reliable
 	w.free = w.free.Add(need, -1)
 	w.runs[s.ID] = r
 	r.timer = time.AfterFunc(time.Hour, func() {})
--- a/internal/workflowowner/crash.go
+++ b/internal/workflowowner/crash.go
@@ -2,17 +2,24 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/parsleypier/parsleypier/internal/workflow"
 	"github.com/parsleypier/parsleypier/internal/workflowrpc"
+	"github.com/parsleypier/parsleypier/internal/workflowscheduler"
 )
 
-// maxLoggedRuns limits the runs of a crashed worker in the log. The newest are logged.
-const maxLoggedRuns = 16
-
-// loggedAgePrecision is the precision of the ages of runs in the reasons of the log.
-const loggedAgePrecision = time.Millisecond
+const (
+	// maxLoggedRuns limits the runs of a crashed worker in the log. The newest are logged.
+	maxLoggedRuns = 16
+	// loggedAgePrecision is the precision of the ages of runs in the reasons of the log.
+	loggedAgePrecision = time.Millisecond
+	// maxIsolationWait is how long a task waits for an idle worker. Then it starts beside
+	// other work.
+	maxIsolationWait = 2 * time.Second
+)
 
 // crashedRun is what the log says of a run that a worker may have begun before it crashed.
 type crashedRun struct {
@@ -20,20 +27,36 @@
 	AgeMs int64  `json:"ageMs"`
 }
 
-// logCrash logs the crash of a worker with the runs on it and their ages, the newest first:
-// if a task has crashed the worker, it is probably the newest.
-func (o *Owner) logCrash(w *worker, args *workflowrpc.SyncArgs) {
+// recordCrash records the crash of a worker under the tasks that it had begun, and gives up
+// the jobs of tasks that have crashed too many workers. The report may be of an earlier
+// incarnation, and may repeat one that is recorded.
+func (o *Owner) recordCrash(args *workflowrpc.SyncArgs) {
 	if args.Worker.End != workflowrpc.WorkerCrashed {
 		return
 	}
+	w := o.workers[args.Worker.ID]
+	current := w != nil && w.incarnation == args.Worker.Incarnation && !w.lost
 	var begun []workflowrpc.Run
+	startedJobs := map[string]bool{} // jobs with a run that had just begun
 	for _, report := range args.Runs {
-		if r := w.runs[report.ID]; r != nil {
-			r.ageAtCrash = report.AgeAtCrash
+		if current && w.runs[report.ID] != nil {
+			w.runs[report.ID].ageAtCrash = report.AgeAtCrash
 		}
 		if report.AgeAtCrash > 0 {
 			begun = append(begun, report)
 		}
+		if atStart(report) {
+			startedJobs[report.ID.Task.Job] = true
+		}
+	}
+	changed := false
+	for _, report := range begun {
+		changed = o.recordTaskCrash(report.ID.Task, workflow.Crash{
+			Worker: args.Worker.ID, Incarnation: args.Worker.Incarnation, AtStart: atStart(report), Alone: atStart(report) && len(startedJobs) == 1,
+		}) || changed
+	}
+	if !changed && !current {
+		return // repeats an earlier report
 	}
 	slices.SortFunc(begun, func(a, b workflowrpc.Run) int {
 		return cmp.Or(cmp.Compare(a.AgeAtCrash, b.AgeAtCrash), a.ID.Compare(b.ID))
@@ -42,7 +65,55 @@
 	for _, r := range begun[:min(len(begun), maxLoggedRuns)] {
 		logged = append(logged, crashedRun{r.ID.String(), r.AgeAtCrash.Milliseconds()})
 	}
-	o.opts.Log.Event("worker_crashed", "worker", w.id, "incarnation", w.incarnation, "runs", len(begun), "newest", logged)
+	o.opts.Log.Event("worker_crashed", "worker", args.Worker.ID, "incarnation", args.Worker.Incarnation, "runs", len(begun), "newest", logged)
+}
+
+// atStart reports whether a run had just begun when its worker crashed.
+func atStart(r workflowrpc.Run) bool {
+	return r.AgeAtCrash > 0 && r.AgeAtCrash < workflow.StartCrashWindow
+}
+
+// recordTaskCrash records a crash under one task, and reports whether it is new.
+func (o *Owner) recordTaskCrash(t workflow.TaskID, c workflow.Crash) bool {
+	j := o.jobs[t.Job]
+	if j == nil || !j.active() || !j.record.Spec.HasTask(t) || !j.progress.RecordCrash(&j.record.Spec, t, c) {
+		return false
+	}
+	j.progress.Begun = true
+	o.markChanged(j)
+	j.crashGen = j.progressGen
+	if o.finishIfDecided(j) {
+		crashes := j.progress.StepProgress(&j.record.Spec, stepOf(t)).Crashes[t.Index]
+		o.opts.Log.Event("job_given_up", "job", j.id, "task", t.String(), "crashes", crashes)
+	}
+	return true
+}
+
+// awaitCrashStored waits until the crash that an agent reports is stored for all jobs under
+// which it happened, and reports whether it is. o.mu must be held; it is released while
+// waiting.
+func (o *Owner) awaitCrashStored(args *workflowrpc.SyncArgs, deadline <-chan time.Time) bool {
+	unstored := func(r workflowrpc.Run) bool {
+		j := o.jobs[r.ID.Task.Job]
+		return r.AgeAtCrash > 0 && j != nil && !j.crashesStored()
+	}
+	for slices.ContainsFunc(args.Runs, unstored) {
+		written := o.written
+		o.mu.Unlock()
+		ended := false
+		select {
+		case <-written:
+		case <-deadline:
+			ended = true
+		case <-o.ctx.Done():
+			ended = true
+		}
+		o.mu.Lock()
+		if ended {
+			return false
+		}
+	}
+	return true
 }
 
 // lossReason says why a run was lost. why is how its worker ended.
@@ -55,3 +126,84 @@
 	}
 	return "worker crashed " + r.ageAtCrash.Round(loggedAgePrecision).String() + " after the start"
 }
+
+// splitByIsolation splits a group into groups of tasks with the same isolation. A gang has
+// the strictest one of its members.
+func (o *Owner) splitByIsolation(j *job, g workflowscheduler.Group) []workflowscheduler.Group {
+	progress := j.progress.StepProgress(&j.record.Spec, g.ID)
+	if len(progress.Crashes) == 0 {
+		return []workflowscheduler.Group{g}
+	}
+	tasks := map[workflow.Isolation][]int{}
+	strictest := workflow.IsolationNone
+	avoid := maps.Clone(g.Avoid)
+	for _, i := range g.Tasks {
+		level := progress.Isolation(i)
+		strictest = max(strictest, level)
+		tasks[level] = append(tasks[level], i)
+		for _, c := range progress.Crashes[i] {
+			avoid[c.Worker] = true
+		}
+	}
+	if g.Gang {
+		tasks = map[workflow.Isolation][]int{strictest: g.Tasks}
+	}
+	var out []workflowscheduler.Group
+	for _, level := range slices.Sorted(maps.Keys(tasks)) {
+		part := g
+		part.Tasks, part.Isolation = tasks[level], o.possibleIsolation(j, g.ID, level)
+		if level != workflow.IsolationNone {
+			part.Avoid = avoid
+		}
+		out = append(out, part)
+	}
+	return out
+}
+
+// possibleIsolation returns the isolation of a step's waiting tasks. One that needs an idle
+// worker is relaxed after maxIsolationWait: long tasks may occupy all workers.
+func (o *Owner) possibleIsolation(j *job, step workflow.StepID, wanted workflow.Isolation) workflow.Isolation {
+	if wanted < workflow.IsolationWorker {
+		return wanted
+	}
+	since, ok := j.isolationWait[step]
+	if !ok {
+		since = o.now()
+		j.isolationWait[step] = since
+	}
+	if o.now()-since > maxIsolationWait {
+		return workflow.IsolationStart
+	}
+	return wanted
+}
+
+// isolates reports whether a run on the worker is kept apart from other work at present.
+func (o *Owner) isolates(w *worker) bool {
+	for _, r := range w.runs {
+		switch r.isolation {
+		case workflow.IsolationStart, workflow.IsolationWorker:
+			if o.beganRecently(r) {
+				return true
+			}
+		case workflow.IsolationRun:
+			return true
+		}
+	}
+	return false
+}
+
+// recentStart reports whether a run on the worker is as young as one that may crash it.
+func (o *Owner) recentStart(w *worker) bool {
+	for _, r := range w.runs {
+		if o.beganRecently(r) {
+			return true
+		}
+	}
+	return false
+}
+
+// beganRecently reports whether a run has not yet lived for StartCrashWindow, as far as is
+// known.
+func (o *Owner) beganRecently(r *run) bool {
+	return r.startedAt == 0 || o.now()-r.startedAt < workflow.StartCrashWindow
+}
--- a/internal/workflowowner/cycle.go
+++ b/internal/workflowowner/cycle.go
@@ -63,12 +63,13 @@
 	o.orderStarts(snap, groups, plan.Starts)
 	for i, reason := range plan.Waits {
 		g := groups[i]
-		if g.job.waitReasons[g.stepID] != string(reason) {
-			g.job.waitReasons[g.stepID] = string(reason)
+		waiting := waitingTasks{g.stepID, snap.Groups[i].Isolation}
+		if g.job.waitReasons[waiting] != string(reason) {
+			g.job.waitReasons[waiting] = string(reason)
 			waitDecisions.Add(string(reason), 1)
 			o.opts.Log.Event("step_waits", "job", g.job.id, "occurrence", g.stepID.Occurrence, "step", g.stepID.Step, "reason", string(reason),
 				"tasks", len(snap.Groups[i].Tasks), "gpus", snap.Groups[i].Need.GPUs, "guaranteed", snap.Groups[i].Guaranteed,
-				"readyMs", (o.now() - snap.Groups[i].ReadyAt).Milliseconds())
+				"isolation", int(snap.Groups[i].Isolation), "readyMs", (o.now() - snap.Groups[i].ReadyAt).Milliseconds())
 		}
 	}
 }
@@ -131,7 +132,7 @@
 			if !gang {
 				number = o.nextAttempt(g.job, tasks[i:i+1])
 			}
-			o.orderStart(g, tasks[i], number, o.workers[s.Worker], s.Expected, snap.Groups[s.Group].Guaranteed)
+			o.orderStart(g, tasks[i], number, o.workers[s.Worker], s.Expected, &snap.Groups[s.Group])
 		}
 	}
 }
@@ -141,21 +142,22 @@
 }
 
 // orderStart registers a run. The next reply to the agent carries the order.
-func (o *Owner) orderStart(g group, task workflow.TaskID, attempt int, w *worker, expected time.Duration, guaranteed bool) {
+func (o *Owner) orderStart(g group, task workflow.TaskID, attempt int, w *worker, expected time.Duration, from *workflowscheduler.Group) {
 	j := g.job
 	step := &j.record.Spec.Steps[task.Step]
 	r := &run{
 		id: workflow.RunID{Task: task, Attempt: attempt}, job: j, step: step, worker: w, state: workflowrpc.RunStarting,
-		orderedAt: o.now(), expected: expected, guaranteed: guaranteed,
+		orderedAt: o.now(), expected: expected, guaranteed: from.Guaranteed, isolation: from.Isolation,
 		remote:  expected > time.Duration(1.5*float64(o.estimate(j, step))),
 		resumed: j.progress.Checkpoint(&j.record.Spec, task) != "", ticket: j.ticket(g.stepID, w),
 	}
 	j.attempts[task] = attempt
 	j.runs[task], w.runs[r.id] = r, r
-	delete(j.waitReasons, g.stepID)
+	delete(j.waitReasons, waitingTasks{g.stepID, from.Isolation})
+	delete(j.isolationWait, g.stepID)
 	startWait.Add(telemetry.LatencyBucket(o.now()-j.readySince[g.stepID]), 1)
 	o.opts.Log.Event("run_ordered", "job", j.id, "run", r.id.String(), "worker", w.id, "readyMs", (o.now() - j.readySince[g.stepID]).Milliseconds(),
-		"expectedMs", expected.Milliseconds(), "reportAgeMs", time.Since(w.lastCall).Milliseconds(), "epoch", o.opts.Epoch)
+		"expectedMs", expected.Milliseconds(), "isolation", int(from.Isolation), "reportAgeMs", time.Since(w.lastCall).Milliseconds(), "epoch", o.opts.Epoch)
 	w.endPoll()
 }
 
@@ -171,7 +173,7 @@
 		}
 		snap.Workers = append(snap.Workers, workflowscheduler.Worker{
 			ID: w.id, Rack: w.info.Rack, Pool: w.info.Pool, Labels: w.info.Labels, Capacity: w.info.Capacity, Free: w.free(),
-			Usable: o.usable(w), Slowdown: 1, Probe: w.backoff.probing() || o.health.State(now, w.id) == structs.WorkerProbing,
+			Usable: o.usable(w), RecentStart: o.recentStart(w), Slowdown: 1, Probe: w.backoff.probing() || o.health.State(now, w.id) == structs.WorkerProbing,
 		})
 		for _, r := range w.runs {
 			snap.Running = append(snap.Running, o.snapshotRun(r))
@@ -190,9 +192,13 @@
 		}
 		guaranteed := o.fitsGuarantee(j, chargedGPUs)
 		for _, stepID := range j.stepIDs() {
-			if g, ok := o.waitingGroup(j, stepID, now); ok {
-				g.Guaranteed = guaranteed
-				snap.Groups = append(snap.Groups, g)
+			g, ok := o.waitingGroup(j, stepID, now)
+			if !ok {
+				continue
+			}
+			g.Guaranteed = guaranteed
+			for _, part := range o.splitByIsolation(j, g) {
+				snap.Groups = append(snap.Groups, part)
 				groups = append(groups, group{j, stepID})
 			}
 		}
--- a/internal/workflowowner/job.go
+++ b/internal/workflowowner/job.go
@@ -26,19 +26,28 @@
 	// the generation that is stored. storedState is the final state that is stored.
 	progressGen, durableGen uint64
 	storedState             workflow.State
+	crashGen                uint64 // progressGen of the last crash under the job
 	cancelled               bool
 
 	attempts    map[workflow.TaskID]int
 	runs        map[workflow.TaskID]*run
 	avoid       map[string]bool // workers on which a run of the job failed
 	readySince  map[workflow.StepID]time.Duration
-	waitReasons map[workflow.StepID]string // last logged reason
-	advice      map[workflow.StepID]*advice
+	waitReasons map[waitingTasks]string // last logged reason
+	// isolationWait has the time since which a step's tasks wait for an idle worker.
+	isolationWait map[workflow.StepID]time.Duration
+	advice        map[workflow.StepID]*advice
 	// rejectedStarts counts, by step, the rejected starts since the last one that
 	// succeeded.
 	rejectedStarts map[workflow.StepID]rejectionBackoff
 }
 
+// waitingTasks are the waiting tasks of a step with the same isolation.
+type waitingTasks struct {
+	step      workflow.StepID
+	isolation workflow.Isolation
+}
+
 // rejectionBackoff delays the next start of a step whose starts workers reject.
 type rejectionBackoff struct {
 	count int
@@ -78,9 +87,13 @@
 	}
 	j.attempts, j.runs = map[workflow.TaskID]int{}, map[workflow.TaskID]*run{}
 	j.advice, j.rejectedStarts = map[workflow.StepID]*advice{}, map[workflow.StepID]rejectionBackoff{}
-	j.avoid, j.readySince, j.waitReasons = map[string]bool{}, map[workflow.StepID]time.Duration{}, map[workflow.StepID]string{}
+	j.avoid, j.readySince, j.waitReasons = map[string]bool{}, map[workflow.StepID]time.Duration{}, map[waitingTasks]string{}
+	j.isolationWait = map[workflow.StepID]time.Duration{}
 }
 
+// crashesStored reports whether all known crashes under the job are stored.
+func (j *job) crashesStored() bool { return j.durableGen >= j.crashGen }
+
 // active reports whether the job may start tasks.
 func (j *job) active() bool {
 	return j.record != nil && !j.cancelled && !j.progress.State.Final()
@@ -111,6 +124,8 @@
 	// percent is the last reported progress, percentAt when it last increased.
 	percent   int
 	percentAt time.Duration
+	// isolation is how the run is kept apart from other work on its worker.
+	isolation workflow.Isolation
 	// ageAtCrash is how long before the crash of the worker the run may have begun; 0 if
 	// the worker has not crashed, or cannot have begun the run.
 	ageAtCrash time.Duration
@@ -244,13 +259,22 @@
 	if final {
 		return
 	}
-	if state := j.progress.Outcome(&j.record.Spec, o.terms(j).MaxAttempts); state != "" {
-		o.finish(j, state)
-	} else if e.Kind == workflow.EndDone {
+	if !o.finishIfDecided(j) && e.Kind == workflow.EndDone {
 		o.stopOtherRun(j, e.ID)
 	}
 }
 
+// finishIfDecided finishes a job whose recorded progress decides its final state. It
+// reports whether it does.
+func (o *Owner) finishIfDecided(j *job) bool {
+	state := j.progress.Outcome(&j.record.Spec, o.terms(j).MaxAttempts)
+	if state == "" {
+		return false
+	}
+	o.finish(j, state)
+	return true
+}
+
 // stopOtherRun stops another run of a task that has completed.
 func (o *Owner) stopOtherRun(j *job, id workflow.RunID) {
 	if r := j.runs[id.Task]; r != nil && r.id != id && !r.step.Gang {
--- a/internal/workflowowner/owner.go
+++ b/internal/workflowowner/owner.go
@@ -150,6 +150,7 @@
 	adviceInFlight bool
 	wakeDecide     chan struct{} // signals decisionLoop
 	wakePersist    chan struct{} // signals persistLoop
+	written        chan struct{} // closed and replaced after each successful write
 }
 
 // New returns an owner that is inactive until Start is called.
@@ -158,7 +159,7 @@
 	return &Owner{
 		opts: o, startedAt: time.Now(), ctx: ctx, cancel: cancel, jobs: map[string]*job{}, workers: map[string]*worker{},
 		queueWork: map[string]average{}, runtimes: estimate.NewRuntimesWithPrior(declaredPrior), health: estimate.NewHealth(),
-		wakeDecide: make(chan struct{}, 1), wakePersist: make(chan struct{}, 1),
+		wakeDecide: make(chan struct{}, 1), wakePersist: make(chan struct{}, 1), written: make(chan struct{}),
 	}
 }
 
@@ -294,6 +295,9 @@
 	if !j.progress.State.Final() {
 		o.logJobSeen(j)
 	}
+	if j.active() {
+		o.finishIfDecided(j) // its progress was read before its record
+	}
 }
 
 // stepShape is what the log says of a step of a job.
@@ -355,6 +359,9 @@
 		j.progress.Merge(p)
 	}
 	j.storedState = p.State
+	if j.active() {
+		o.finishIfDecided(j) // the rows of two owners together may decide what neither does
+	}
 }
 
 // workerRow is the stored value of a worker's row.
--- a/internal/workflowowner/persist.go
+++ b/internal/workflowowner/persist.go
@@ -94,6 +94,8 @@
 		return true, err
 	}
 	o.opts.OnFencedWrite(o.opts.Epoch, clock)
+	close(o.written)
+	o.written = make(chan struct{})
 	for _, wr := range jobs {
 		wr.job.progressVersion, wr.job.durableGen, wr.job.storedState = version, wr.progressGen, wr.state
 		if wr.state.Final() {
--- a/internal/workflowowner/worker.go
+++ b/internal/workflowowner/worker.go
@@ -142,7 +142,7 @@
 // usable reports whether the worker may receive starts. It returns false for a nil
 // worker.
 func (o *Owner) usable(w *worker) bool {
-	if w == nil || !w.reported || w.fence != o.opts.Epoch || !w.rowCurrent() || w.info.Draining || w.info.Unconfirmed || w.info.Gone || w.lost || w.info.Silent > 0 {
+	if w == nil || o.isolates(w) || !w.reported || w.fence != o.opts.Epoch || !w.rowCurrent() || w.info.Draining || w.info.Unconfirmed || w.info.Gone || w.lost || w.info.Silent > 0 {
 		return false
 	}
 	return time.Since(w.lastCall) < maxContactAge && o.now() >= w.backoff.until && o.health.State(o.now(), w.id) != structs.WorkerQuarantined
@@ -218,15 +218,26 @@
 		reply.Err = verdict.Refuse(verdict.CodeUnavailable, "the owner of epoch %d is starting, ending or out of touch", o.opts.Epoch)
 		return
 	}
+	if args.Worker.Gone {
+		o.recordCrash(args)
+	}
 	wasUsable := o.usable(o.workers[args.Worker.ID])
 	w, current := o.acceptCall(args)
+	if args.Worker.Gone {
+		if current {
+			o.applyReport(w, args)
+			o.removeWorker(w, cmp.Or(string(args.Worker.End), "gone"))
+		}
+		reply.ReportAgain = !o.awaitCrashStored(args, deadline.C)
+		return
+	}
 	if !current {
 		reply.Superseded = w != nil && args.Worker.Incarnation == w.incarnation
 		return
 	}
 	if args.Worker.Lapsed {
 		o.expireRuns(w)
-	} else if args.Fence != o.opts.Epoch && !args.Worker.Gone {
+	} else if args.Fence != o.opts.Epoch {
 		w.lastReply = time.Now()
 		return // the agent first has to fence the worker against earlier owners
 	}
@@ -234,11 +245,6 @@
 	if wasUsable != o.usable(w) {
 		signal(o.wakeDecide)
 	}
-	if args.Worker.Gone {
-		o.logCrash(w, args)
-		o.removeWorker(w, cmp.Or(string(args.Worker.End), "gone"))
-		return
-	}
 	for !o.fillOrders(w, args, rejected, reply) {
 		poll := w.poll
 		o.mu.Unlock()
@@ -408,6 +414,7 @@
 	r := &run{
 		id: report.ID, job: j, step: step, worker: w, state: report.State, orderedAt: o.now(), startedAt: o.now(), resumed: true,
 		expected: o.estimate(j, step), guaranteed: o.guaranteed(j), checkpoint: report.Checkpoint,
+		isolation: j.progress.StepProgress(&j.record.Spec, stepID).Isolation(task.Index),
 	}
 	w.runs[report.ID], j.runs[task] = r, r
 	o.opts.Log.Event("run_adopted", "job", j.id, "run", report.ID.String(), "worker", w.id, "percent", report.Percent)
--- a/internal/workflowrpc/workflowrpc.go
+++ b/internal/workflowrpc/workflowrpc.go
@@ -157,6 +157,9 @@
 	// Forget lists rejected runs whose rejection the owner has recorded; the agent
 	// drops them.
 	Forget []workflow.RunID
+	// ReportAgain is set if the agent has to report the end of the worker again, because
+	// what follows from it is not stored yet.
+	ReportAgain bool
 	// Noted is the highest Seq up to which the owner has stored the ends durably.
 	Noted uint64
 }
--- a/internal/workflowscheduler/place.go
+++ b/internal/workflowscheduler/place.go
@@ -123,6 +123,9 @@
 		return candidate{}
 	}
 	after := w.Free.Add(group.Need, -1)
+	if group.Isolation != workflow.IsolationNone {
+		return candidate{true, isolatedKey(w)}
+	}
 	return candidate{true, [4]float64{w.Slowdown, p.packingCost(n, group.Need, 1), float64(after.GPUs), float64(after.CPUMilli)}}
 }
 
@@ -410,6 +413,8 @@
 		return NeverFits
 	case free < need:
 		return WaitsForCapacity
+	case group.Isolation != workflow.IsolationNone:
+		return WaitsForIdle
 	case group.SameRack || group.DataRack != "":
 		return WaitsForRack
 	}
@@ -464,6 +469,9 @@
 		return 0
 	}
 	free := p.freeAt(n, at)
+	if group.Isolation >= workflow.IsolationWorker && free != w.Capacity {
+		return 0
+	}
 	for _, r := range p.reservations {
 		free = free.Add(r.amount[n], -1)
 	}
--- a/internal/workflowscheduler/workflowscheduler.go
+++ b/internal/workflowscheduler/workflowscheduler.go
@@ -34,6 +34,8 @@
 	Slowdown float64
 	// Probe limits the worker to one task at a time, to test whether it is healthy.
 	Probe bool
+	// RecentStart is set if a task has just started there, or is about to.
+	RecentStart bool
 }
 
 // Group is a set of identical waiting tasks of one step.
@@ -59,6 +61,9 @@
 	Avoid map[string]bool
 	// Allowed lists the only workers that may run the group; nil means all.
 	Allowed map[string]bool
+	// Isolation keeps the tasks apart from other work, because they may have crashed a
+	// worker.
+	Isolation workflow.Isolation
 	// Expected is the expected run time of a task on a healthy worker near its data.
 	Expected time.Duration
 	// CriticalPath is the critical path of the job's remaining work, including this
@@ -168,6 +173,7 @@
 	WaitsForRack     Reason = "rack"       // fits only away from its data or over several racks, which costs more than waiting
 	WaitsForReserved Reason = "reserved"   // the free capacity is reserved for work ahead of it
 	WaitsForStops    Reason = "preempting" // runs are being preempted for it
+	WaitsForIdle     Reason = "isolation"  // has to be kept apart from other work, which all workers with enough capacity have
 	NeverFits        Reason = "never_fits" // does not fit even if all eligible workers were empty
 	NoWorker         Reason = "no_worker"  // no usable worker is eligible
 )
@@ -204,7 +210,11 @@
 )
 
 // node is a worker with the planner's changes to its free capacity.
-type node struct{ Worker }
+type node struct {
+	Worker
+	// isolated is set once an isolated task is planned to start there.
+	isolated bool
+}
 
 // reservation keeps capacity for a waiting group from a time on.
 type reservation struct {
@@ -255,7 +265,7 @@
 		if w.Slowdown < 1 {
 			w.Slowdown = 1
 		}
-		p.nodes = append(p.nodes, node{w})
+		p.nodes = append(p.nodes, node{Worker: w})
 		p.nodeIndex[w.ID] = i
 		p.totalCapacity = p.totalCapacity.Add(w.Capacity, 1)
 	}
@@ -391,7 +401,7 @@
 // of node n.
 func (p *planner) slotsIgnoringReservations(g, n int) int {
 	group, w := &p.snap.Groups[g], &p.nodes[n]
-	if !p.eligible(g, n) {
+	if !p.eligible(g, n) || !w.admits(group) {
 		return 0
 	}
 	count := w.Free.Count(group.Need)
@@ -457,5 +467,7 @@
 func (p *planner) start(g, task, n int, d time.Duration) {
 	p.capacityVersion++
 	p.nodes[n].Free = p.nodes[n].Free.Add(p.snap.Groups[g].Need, -1)
+	p.nodes[n].RecentStart = true
+	p.nodes[n].isolated = p.nodes[n].isolated || p.snap.Groups[g].Isolation != workflow.IsolationNone
 	p.plan.Starts = append(p.plan.Starts, Start{Group: g, Task: task, Worker: p.nodes[n].ID, Expected: d})
 }
