Start a task with two crashes only once they are stored

While the store is away, crashes are known to the owner and its agents only. If all of them lose power, a task that has crashed workers meanwhile could crash as many again, more than its limit allows in all. A task with more than one crash now waits until its crashes are stored. One crash does not hold a task back: most such tasks only ran beside the cause, and outages of some seconds are frequent.

Failed before: TestTaskWithUnstoredCrashesWaits (a third start with two crashes that are not stored).

--- a/internal/workflowowner/crash.go
+++ b/internal/workflowowner/crash.go
@@ -16,6 +16,9 @@
 	maxLoggedRuns = 16
 	// loggedAgePrecision is the precision of the ages of runs in the reasons of the log.
 	loggedAgePrecision = time.Millisecond
+	// maxUnstoredCrashes is the number of crashes with which a task may start again before
+	// they are stored. What is not stored may be lost with the owner and the agents.
+	maxUnstoredCrashes = 1
 	// maxIsolationWait is how long a task waits for an idle worker. Then it starts beside
 	// other work.
 	maxIsolationWait = 2 * time.Second
@@ -128,7 +131,8 @@
 }
 
 // splitByIsolation splits a group into groups of tasks with the same isolation. A gang has
-// the strictest one of its members.
+// the strictest one of its members. Tasks whose crashes have to be stored first are left
+// out.
 func (o *Owner) splitByIsolation(j *job, g workflowscheduler.Group) []workflowscheduler.Group {
 	progress := j.progress.StepProgress(&j.record.Spec, g.ID)
 	if len(progress.Crashes) == 0 {
@@ -138,6 +142,12 @@
 	strictest := workflow.IsolationNone
 	avoid := maps.Clone(g.Avoid)
 	for _, i := range g.Tasks {
+		if len(progress.Crashes[i]) > maxUnstoredCrashes && !j.crashesStored() {
+			if g.Gang {
+				return nil
+			}
+			continue
+		}
 		level := progress.Isolation(i)
 		strictest = max(strictest, level)
 		tasks[level] = append(tasks[level], i)
--- a/internal/workflowowner/crash_test.go
+++ b/internal/workflowowner/crash_test.go
@@ -179,6 +179,38 @@
 	})
 }
 
+// Guards against a task that crashes more workers than its limit while the store is away,
+// since what is not stored is lost with the owner and its agents. A task with one crash
+// still starts again: most such tasks only ran beside the cause.
+func TestTaskWithUnstoredCrashesWaits(t *testing.T) {
+	runOwner(t, func(r *harness) {}, func(r *harness) {
+		r.submit(testJob, newStep(1))
+		for _, id := range []string{"w2", "w3"} { // their rows have to be stored before they get work
+			r.report(id, "addr-"+id, 1, func(a *workflowrpc.SyncArgs) { a.Worker.Draining = true })
+			time.Sleep(100 * time.Millisecond)
+		}
+		runs := r.startOn("w1")
+		r.table.SetFaults(rowstorestub.Faults{Down: true})
+		for _, id := range []string{"w1", "w2"} {
+			if len(runs) == 0 {
+				runs = r.startOn(id)
+			}
+			if len(runs) != 1 {
+				t.Fatalf("%s got %v, want the run of the job", id, runs)
+			}
+			r.reportCrash(id, 1, map[workflow.RunID]time.Duration{runs[0]: 10 * time.Millisecond})
+			runs = nil
+		}
+		if runs := r.startOn("w3"); len(runs) > 0 {
+			t.Errorf("started %v with two crashes that are not stored", runs)
+		}
+		r.table.SetFaults(rowstorestub.Faults{})
+		if runs := r.startOn("w3"); len(runs) != 1 {
+			t.Errorf("started %v once the crashes are stored, want the run of the job", runs)
+		}
+	})
+}
+
 // Guards against a suspected task that waits for ever because no worker is ever idle.
 func TestSuspectedTaskStartsBesideLongWork(t *testing.T) {
 	runOwner(t, func(r *harness) {
--- a/internal/workflowowner/persist.go
+++ b/internal/workflowowner/persist.go
@@ -97,6 +97,9 @@
 	close(o.written)
 	o.written = make(chan struct{})
 	for _, wr := range jobs {
+		if !wr.job.crashesStored() {
+			signal(o.wakeDecide) // tasks may have waited for this write
+		}
 		wr.job.progressVersion, wr.job.durableGen, wr.job.storedState = version, wr.progressGen, wr.state
 		if wr.state.Final() {
 			wr.job.progress.State = wr.state // a cancellation that arrived during the write is too late
