Withdraw starts that a shrunk worker has no capacity for

A worker's capacity may shrink while it runs. The owner sends an ordered start with each reply until the agent reports it. If the agent was out of touch in between, and the capacity shrank meanwhile, the start was sent all the same; a worker that does not check its capacity then runs more than it has room for.

Starts that the agent has not reported are now stopped, the newest first, until the rest fits. The agent rejects such a run only once the worker certainly does not have it, so it holds its room until then.

Failed before: TestUndeliveredStartsAreWithdrawnFromShrunkWorker (all four starts were sent to a worker with one GPU). TestShrunkWorkerGetsNoMoreThanItsCapacity passes before and after: a smaller capacity stops further orders, and stopping runs count.

--- a/internal/workflowowner/worker.go
+++ b/internal/workflowowner/worker.go
@@ -242,6 +242,7 @@
 		return // the agent first has to fence the worker against earlier owners
 	}
 	rejected := o.applyReport(w, args)
+	o.withdrawStarts(w, args)
 	if wasUsable != o.usable(w) {
 		signal(o.wakeDecide)
 	}
