Count a run of an unknown job as holding its whole worker

A run that the owner does not know, for example because the job's row is not read yet, is stopped. Until it has ended it counted as holding nothing, so that other tasks could start beside it on a worker that does not check its capacity. What is being stopped holds capacity as well; since its need is not known, it now holds all of it.

Failed before: TestNewOwnerUsesReportedCapacityAndRuns (three starts beside the run). The same test shows that the owner takes the capacity from the report and not from the worker's stored row, which is as old as the worker.

--- a/internal/workflowowner/capacity_test.go
+++ b/internal/workflowowner/capacity_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/parsleypier/parsleypier/internal/workflow"
 	"github.com/parsleypier/parsleypier/internal/workflowrpc"
 )
 
@@ -50,3 +51,20 @@
 		}
 	})
 }
+
+// Guards against an owner that takes the capacity of a worker from its stored row, which is
+// as old as the worker, and against runs that hold nothing because their job is unknown.
+func TestNewOwnerUsesReportedCapacityAndRuns(t *testing.T) {
+	unknown := workflowrpc.Run{ID: workflow.RunID{Task: workflow.TaskID{Job: "00000000000000aa"}, Attempt: 1}, State: workflowrpc.RunStopping}
+	runOwner(t, func(r *harness) { r.putWorkerRow("w", "a", 1) }, func(r *harness) {
+		r.submit(testJob, newStep(4))
+		for range 10 {
+			if reply := r.report("w", "a", 1, withCapacity(3, unknown)); len(reply.Start) > 0 {
+				t.Fatalf("started %v beside a run that may hold the whole worker", reply.Start)
+			}
+		}
+		if starts := r.report("w", "a", 1, withCapacity(3)).Start; len(starts) != 3 {
+			t.Errorf("started %v, want as many tasks as the worker has GPUs", starts)
+		}
+	})
+}
--- a/internal/workflowowner/worker.go
+++ b/internal/workflowowner/worker.go
@@ -401,7 +401,7 @@
 	task := report.ID.Task
 	j := o.jobs[task.Job]
 	if j == nil || j.record == nil || !j.record.Spec.HasTask(task) {
-		w.unwantedRuns[report.ID] = workflow.Resources{}
+		w.unwantedRuns[report.ID] = w.info.Capacity // what it holds is not known
 		return nil
 	}
 	step := &j.record.Spec.Steps[task.Step]
