Check capacities that change in the simulation

Workers of the simulation report a capacity that shrinks and grows again, and half of them do not check it. The history reports a start beyond the largest capacity of the last 4.5 s (LIMIT).

--- a/internal/workflowdaemon/sim_history_test.go
+++ b/internal/workflowdaemon/sim_history_test.go
@@ -17,6 +17,7 @@
 //     third time after it has crashed three workers.
 //   - LOST: an accepted job does not end, or an entry reports a wrong state for
 //     it.
+//   - LIMIT: a worker gets a start for which it has had no capacity for some time.
 //   - MIXED: a job is reported as completed before all its tasks are done.
 type history struct {
 	mu        sync.Mutex
--- a/internal/workflowdaemon/sim_test.go
+++ b/internal/workflowdaemon/sim_test.go
@@ -136,7 +136,7 @@
 func (s *sim) sendHeartbeats(w *simWorker) {
 	for seq := uint64(1); s.ctx.Err() == nil; seq++ {
 		w.mu.Lock()
-		up, incarnation := w.up, w.incarnation
+		up, incarnation, capacity := w.up, w.incarnation, w.capacity
 		w.mu.Unlock()
 		s.mu.Lock()
 		agent := s.agents[w.id]
@@ -145,7 +145,7 @@
 			rack := "r" + string(w.id[1]/2)
 			agent.Heartbeat(workflowrpc.Worker{
 				ID: w.id, Incarnation: incarnation, Pool: "p", Rack: rack, Labels: []string{"k", rack},
-				Capacity: workflow.Resources{CPUMilli: 64000, MemoryMB: 262144, GPUs: 8},
+				Capacity: capacity,
 			}, w.id, seq)
 		}
 		s.sleep(1500 * time.Millisecond)
@@ -276,11 +276,11 @@
 	time.Sleep(15 * time.Second)
 }
 
-// runSimulation runs a deployment with clients and random faults. With crashes, some tasks
-// crash the workers that start them, and other workers crash by themselves. It returns the
-// rule violations, the number of faults of each kind and the number of task ends of
-// each kind.
-func runSimulation(t *testing.T, seed uint64, crashes bool) (violations []string, faults map[string]int, ends map[workflow.EndKind]int) {
+// runSimulation runs a deployment with clients and random faults. With workerTrouble, some
+// tasks crash the workers that start them, other workers crash by themselves, and the
+// capacity of workers changes. It returns the rule violations, the number of faults of each
+// kind and the number of task ends of each kind.
+func runSimulation(t *testing.T, seed uint64, workerTrouble bool) (violations []string, faults map[string]int, ends map[workflow.EndKind]int) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		s := newSim(ctx, t, seed)
@@ -292,9 +292,13 @@
 				faultInjectors.Go(s.injectFault)
 			}
 		})
-		crashRng := &lockedRand{rng: rand.New(rand.NewPCG(seed, 101))}
-		if crashes {
-			faultInjectors.Go(func() { s.crashWorkers(crashRng) })
+		troubleRng := &lockedRand{rng: rand.New(rand.NewPCG(seed, 101))}
+		if workerTrouble {
+			faultInjectors.Go(func() { s.crashWorkers(troubleRng) })
+			for i, w := range s.workers {
+				w.unguarded = i%2 == 0
+			}
+			faultInjectors.Go(func() { s.changeCapacities(troubleRng) })
 		}
 		for i := range 40 {
 			spec, queue := s.randomSpec(s.rng), "batch"
@@ -302,9 +306,9 @@
 				queue = "urgent"
 			}
 			id, cancelled := fmt.Sprintf("%016x", uint64(i)+seed<<16), s.rng.IntN(8) == 0
-			if crashes && crashRng.IntN(simCrashingJobs) == 0 {
-				step := crashRng.IntN(len(spec.Steps))
-				s.history.addCrashingTask(workflow.TaskID{Job: id, Step: step, Index: crashRng.IntN(spec.Steps[step].Tasks)})
+			if workerTrouble && troubleRng.IntN(simCrashingJobs) == 0 {
+				step := troubleRng.IntN(len(spec.Steps))
+				s.history.addCrashingTask(workflow.TaskID{Job: id, Step: step, Index: troubleRng.IntN(spec.Steps[step].Tasks)})
 			}
 			clients.Go(func() { s.runClient(id, spec, queue, cancelled) })
 			s.sleep(time.Duration(s.rng.IntN(1200)) * time.Millisecond)
@@ -364,14 +368,15 @@
 	runSeeds(t, false)
 }
 
-// Guards against tasks that crash worker after worker, and against healthy jobs that are
-// given up because of other crashes, under the same random faults.
-func TestSimulationWithCrashingTasks(t *testing.T) {
+// Guards against tasks that crash worker after worker, against healthy jobs that are given
+// up because of other crashes, and against starts beyond a capacity that has shrunk, under
+// the same random faults.
+func TestSimulationWithWorkerTrouble(t *testing.T) {
 	runSeeds(t, true)
 }
 
 // runSeeds runs the simulation for the seeds of the flags.
-func runSeeds(t *testing.T, crashes bool) {
+func runSeeds(t *testing.T, workerTrouble bool) {
 	seeds := []uint64{*simSeed}
 	if *simSeed == 0 {
 		seeds = nil
@@ -385,7 +390,7 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			seedsRun++
-			violations, faults, ends := runSimulation(t, seed, crashes)
+			violations, faults, ends := runSimulation(t, seed, workerTrouble)
 			done += ends[workflow.EndDone]
 			for k, n := range faults {
 				seen[k] += n
@@ -399,7 +404,7 @@
 	if len(seen) < 5 && seedsRun > 4 || done < 10*seedsRun {
 		t.Errorf("the simulations had only the faults %v and %d tasks done", seen, done)
 	}
-	if crashes && seedsRun > 4 && seen[faultCrashByTask] == 0 {
-		t.Error("no task crashed a worker")
+	if workerTrouble && seedsRun > 4 && (seen[faultCrashByTask] == 0 || seen[faultCapacityShrunk] == 0) {
+		t.Errorf("no task crashed a worker, or no capacity shrank: %v", seen)
 	}
 }
--- a/internal/workflowdaemon/sim_worker_test.go
+++ b/internal/workflowdaemon/sim_worker_test.go
@@ -34,14 +34,19 @@
 	rng        *rand.Rand
 	allWorkers func() []*simWorker
 
-	mu              sync.Mutex
-	incarnation     int64
-	bootedAt        time.Time
-	up              bool
-	highestFence    uint64
-	leaseEnd        time.Duration // on the worker's clock
-	leaseTimer      *time.Timer
-	free            workflow.Resources
+	mu           sync.Mutex
+	incarnation  int64
+	bootedAt     time.Time
+	up           bool
+	highestFence uint64
+	leaseEnd     time.Duration // on the worker's clock
+	leaseTimer   *time.Timer
+	free         workflow.Resources
+	capacity     workflow.Resources
+	// capacities has the capacities of this incarnation, the last one in force.
+	capacities []simCapacity
+	// unguarded workers start runs for which they have no capacity.
+	unguarded       bool
 	runs            map[workflow.RunID]*simRun
 	finishedAttempt map[workflow.TaskID]int // highest attempt that has been stopped or has ended
 	unackedEnds     []workflowrpc.End
@@ -69,7 +74,7 @@
 func (w *simWorker) boot(now time.Time) {
 	w.incarnation, w.bootedAt, w.up, w.refusing = now.UnixMilli(), now, true, false
 	w.highestFence, w.leaseEnd, w.ackedSeq = 0, 0, 0
-	w.free = workflow.Resources{CPUMilli: 64000, MemoryMB: 262144, GPUs: 8}
+	w.capacity, w.capacities, w.free = simFullCapacity, nil, simFullCapacity
 	w.runs, w.finishedAttempt, w.unackedEnds, w.unackedDone = map[workflow.RunID]*simRun{}, map[workflow.TaskID]int{}, nil, map[uint64]workflow.TaskID{}
 	w.changed = make(chan struct{})
 }
@@ -166,7 +171,7 @@
 		a.Rejected = workflowagent.ReasonEnded
 	case s.Deadline < w.clock():
 		a.Rejected = workflowagent.ReasonDeadlinePassed
-	case !w.free.Fits(need):
+	case !w.free.Fits(need) && !w.unguarded:
 		a.Rejected = workflowagent.ReasonNoCapacity
 	default:
 		w.highestFence = s.Fence
@@ -188,6 +193,7 @@
 	w.runs[s.ID] = r
 	r.timer = time.AfterFunc(time.Hour, func() {})
 	w.history.recordStart(r)
+	w.checkCapacity(r)
 	if w.history.crashesWorkers(s.ID.Task) {
 		time.AfterFunc(simCrashDelay, func() { w.crashByRun(r) })
 	}
