--- a/internal/logaccount/account.go
+++ b/internal/logaccount/account.go
@@ -34,6 +34,7 @@
 	StartUnconfirmed Cause = "start unanswered or rejected"
 	SlowRun          Cause = "slow run"
 	RecordedLate     Cause = "end recorded late"
+	GivenUp          Cause = "given up: one of its tasks crashes workers"
 	Cancelled        Cause = "cancelled by its client"
 	StillRunning     Cause = "not ended in the log"
 	Unknown          Cause = "unknown"
@@ -50,7 +51,7 @@
 	Queue   string `json:"queue"`
 	Account string `json:"account"`
 	// State is the final state, "unfinished", "open" if it was not yet due at the end of
-	// the log, or "not accepted".
+	// the log, or "not accepted". A job that was given up has failed, and was worth nothing.
 	State     string    `json:"state"`
 	Submitted time.Time `json:"submitted"`
 	// Due is when the job was due, by its actual run times.
@@ -172,6 +173,9 @@
 			out.State, out.Worth, out.Possible = "open", 0, 0
 		}
 	}
+	if j.givenUp {
+		out.Worth, out.Possible, out.Earned, out.Cause, out.At = 0, 0, 0, GivenUp, j.ended
+	}
 	out.Possible = max(out.Possible, out.Earned)
 	if out.Earned < out.Worth {
 		out.Cause, out.At, out.Delay = longestDelay(out.Segments)
--- a/internal/logaccount/account_test.go
+++ b/internal/logaccount/account_test.go
@@ -58,6 +58,8 @@
 		{"refused", logLine(1, "request", "job", `"a"`, "call", `"submit"`, "status", "503", "err", `"platform_unavailable: x"`) + aJob(2, "b"), 0, NotAcceptedStore},
 		{"accepted late", logLine(1, "request", "job", `"a"`, "call", `"submit"`, "status", "503", "err", `"platform_unavailable: x"`) +
 			aJob(3.9, "a") + aRun("a", 1, 4, 6, "done", "") + ended(6, "a"), 1, AcceptedLate},
+		{"crashes workers", aJob(1, "a") + aRun("a", 1, 1.1, 1.4, "lost", "worker crashed 10ms after the start") + logLine(2, "job_given_up", "job", `"a"`) +
+			logLine(2, "job_ended", "job", `"a"`, "state", `"failed"`), 0, GivenUp},
 		{"lost without an owner", aJob(1, "a") + aRun("a", 1, 1.1, 0, "", "") + logLine(4, "owner_loaded") + aRun("a", 2, 4.1, 6.1, "done", "") + ended(6.1, "a"), 1, WorkerLost},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/logaccount/events.go
+++ b/internal/logaccount/events.go
@@ -144,6 +144,7 @@
 	ended               time.Time
 	state, refusal      string
 	cancelled           bool
+	givenUp             bool  // one of its tasks crashes workers
 	terms               event // the first job_seen
 	runs                []*run
 	waits               []stepWait
--- a/internal/logaccount/timeline.go
+++ b/internal/logaccount/timeline.go
@@ -86,6 +86,8 @@
 		if j.ended.IsZero() || j.state == "" {
 			j.ended, j.state = e.Time, e.State
 		}
+	case "job_given_up":
+		j.givenUp = true
 	case "step_waits":
 		j.waits = append(j.waits, stepWait{e.Time, e.Step, e.Reason})
 	case "run_ordered", "run_adopted":
