Count only crashes at the start of persistent tasks

A persistent task outlives many workers. Crashes long after its start were recorded without a bound, and from the third on the task was to run alone on a worker until its end, which may never come: a whole worker for one healthy task. Such crashes are no longer recorded for persistent tasks, and these are kept apart at their start only.

Failed before: three cases of TestCrashesDecideIsolationAndLimit (isolation until the end for a persistent task on workers that crash).

--- a/internal/workflow/crash.go
+++ b/internal/workflow/crash.go
@@ -19,7 +19,7 @@
 // maxStartCrashes workers at its start, of which minCrashesAlone with no other job under
 // suspicion: workers also crash by themselves, but hardly so often just as the same task
 // starts. maxCrashes counts all crashes, whatever the age of the run, for tasks that crash
-// their worker later. It does not apply to persistent tasks, which outlive many workers.
+// their worker later.
 const (
 	maxStartCrashes = 3
 	minCrashesAlone = 2
@@ -85,16 +85,17 @@
 
 // crashLimitReached reports whether task i has crashed so many workers that it must not
 // start again.
-func (p *StepProgress) crashLimitReached(i int, persistent bool) bool {
+func (p *StepProgress) crashLimitReached(i int) bool {
 	atStart, alone := p.countCrashes(i)
-	return atStart >= maxStartCrashes && alone >= minCrashesAlone || len(p.Crashes[i]) >= maxCrashes && !persistent
+	return atStart >= maxStartCrashes && alone >= minCrashesAlone || len(p.Crashes[i]) >= maxCrashes
 }
 
-// Isolation returns how task i has to be kept apart when it starts again.
-func (p *StepProgress) Isolation(i int) Isolation {
+// Isolation returns how task i of the step has to be kept apart when it starts again. A
+// persistent task is never kept apart until its end, which may not come.
+func (p *StepProgress) Isolation(s *Step, i int) Isolation {
 	atStart, alone := p.countCrashes(i)
 	switch {
-	case len(p.Crashes[i]) >= maxStartCrashes:
+	case len(p.Crashes[i]) >= maxStartCrashes && !s.Persistent:
 		return IsolationRun
 	case atStart > 1 || alone > 0:
 		return IsolationWorker
@@ -105,15 +106,19 @@
 }
 
 // RecordCrash records the crash of a worker on which a run of the task was. It reports
-// whether that is new.
+// whether that is new. For a persistent task only a crash at its start counts, since it
+// outlives many workers.
 func (p *Progress) RecordCrash(s *Spec, t TaskID, c Crash) bool {
+	if s.Steps[t.Step].Persistent && !c.AtStart {
+		return false
+	}
 	return p.partAt(t.Occurrence*len(s.Steps)+t.Step).addCrash(t.Index, c)
 }
 
 // givenUp reports whether a task of the step has reached the limit of crashes.
-func (p *StepProgress) givenUp(persistent bool) bool {
+func (p *StepProgress) givenUp() bool {
 	for i := range p.Crashes {
-		if p.crashLimitReached(i, persistent) {
+		if p.crashLimitReached(i) {
 			return true
 		}
 	}
--- a/internal/workflow/progress.go
+++ b/internal/workflow/progress.go
@@ -207,7 +207,7 @@
 	for k := range s.OccurrenceCount() {
 		for i := range s.Steps {
 			id := StepID{k, i}
-			if p.StepProgress(s, id).givenUp(s.Steps[i].Persistent) {
+			if p.StepProgress(s, id).givenUp() {
 				return StateFailed
 			}
 			if s.Steps[i].Persistent {
--- a/internal/workflowowner/crash.go
+++ b/internal/workflowowner/crash.go
@@ -148,7 +148,7 @@
 			}
 			continue
 		}
-		level := progress.Isolation(i)
+		level := progress.Isolation(&j.record.Spec.Steps[g.ID.Step], i)
 		strictest = max(strictest, level)
 		tasks[level] = append(tasks[level], i)
 		for _, c := range progress.Crashes[i] {
--- a/internal/workflowowner/worker.go
+++ b/internal/workflowowner/worker.go
@@ -415,7 +415,7 @@
 	r := &run{
 		id: report.ID, job: j, step: step, worker: w, state: report.State, orderedAt: o.now(), startedAt: o.now(), resumed: true,
 		expected: o.estimate(j, step), guaranteed: o.guaranteed(j), checkpoint: report.Checkpoint,
-		isolation: j.progress.StepProgress(&j.record.Spec, stepID).Isolation(task.Index),
+		isolation: j.progress.StepProgress(&j.record.Spec, stepID).Isolation(step, task.Index),
 	}
 	w.runs[report.ID], j.runs[task] = r, r
 	o.opts.Log.Event("run_adopted", "job", j.id, "run", report.ID.String(), "worker", w.id, "percent", report.Percent)
