Bound the wait of a task that has to be kept apart

A task that was on a crashed worker at its start waits until no other task has started on a worker for 1 s. Where tasks start on all eligible workers all the time, it waited for ever, although there was room for it: an accepted job that does not end.

The requirement is now relaxed in steps of 2 s from when the task first waits for it alone: from an idle worker to one without other starts, then to any. The count starts with that wait and not with the crash, so that a full cluster does not use it up.

--- a/internal/workflowowner/crash.go
+++ b/internal/workflowowner/crash.go
@@ -19,8 +19,8 @@
 	// maxUnstoredCrashes is the number of crashes with which a task may start again before
 	// they are stored. What is not stored may be lost with the owner and the agents.
 	maxUnstoredCrashes = 1
-	// maxIsolationWait is how long a task waits for an idle worker. Then it starts beside
-	// other work.
+	// maxIsolationWait is how long a task waits to be kept apart before that is relaxed:
+	// first it may start beside other work, and after as long again beside other starts.
 	maxIsolationWait = 2 * time.Second
 )
 
@@ -170,21 +170,25 @@
 	return out
 }
 
-// possibleIsolation returns the isolation of a step's waiting tasks. One that needs an idle
-// worker is relaxed after maxIsolationWait: long tasks may occupy all workers.
+// possibleIsolation returns the isolation of a step's waiting tasks. It is relaxed if the
+// step has waited long for it: long tasks may occupy all workers, or tasks start on all of
+// them all the time.
 func (o *Owner) possibleIsolation(j *job, step workflow.StepID, wanted workflow.Isolation) workflow.Isolation {
-	if wanted < workflow.IsolationWorker {
+	since, waits := j.isolationWait[step]
+	switch waited := o.now() - since; {
+	case !waits || waited <= maxIsolationWait:
 		return wanted
+	case waited <= 2*maxIsolationWait:
+		return min(wanted, workflow.IsolationStart)
 	}
-	since, ok := j.isolationWait[step]
-	if !ok {
-		since = o.now()
-		j.isolationWait[step] = since
-	}
-	if o.now()-since > maxIsolationWait {
-		return workflow.IsolationStart
+	return workflow.IsolationNone
+}
+
+// noteIsolationWait records from when on a step waits only because it has to be kept apart.
+func (o *Owner) noteIsolationWait(g group) {
+	if _, waits := g.job.isolationWait[g.stepID]; !waits {
+		g.job.isolationWait[g.stepID] = o.now()
 	}
-	return wanted
 }
 
 // isolates reports whether a run on the worker is kept apart from other work at present.
--- a/internal/workflowowner/cycle.go
+++ b/internal/workflowowner/cycle.go
@@ -63,6 +63,9 @@
 	o.orderStarts(snap, groups, plan.Starts)
 	for i, reason := range plan.Waits {
 		g := groups[i]
+		if reason == workflowscheduler.WaitsForIdle {
+			o.noteIsolationWait(g)
+		}
 		waiting := waitingTasks{g.stepID, snap.Groups[i].Isolation}
 		if g.job.waitReasons[waiting] != string(reason) {
 			g.job.waitReasons[waiting] = string(reason)
