Keep some workers clear for tasks that have to be kept apart

Where tasks start on all workers all the time, a task that was on a crashed worker found none on which nothing had started for 1 s. After 4 s, also if it had no room for most of that time, it started beside others: its next crash was evidence against several jobs again, and took their work with it.

The decision now keeps up to a quarter of the workers clear for such tasks: the one that is quiet first, or idle within 1 s. The wait after which the requirement is relaxed counts only time in which nothing else is missing.

Failed before: TestWorkersAreKeptClearForSuspectedTasks, TestFewWorkersAreKeptClear.

--- a/internal/workflowowner/crash.go
+++ b/internal/workflowowner/crash.go
@@ -161,7 +161,7 @@
 	var out []workflowscheduler.Group
 	for _, level := range slices.Sorted(maps.Keys(tasks)) {
 		part := g
-		part.Tasks, part.Isolation = tasks[level], o.possibleIsolation(j, g.ID, level)
+		part.Tasks, part.Isolation = tasks[level], j.possibleIsolation(g.ID, level)
 		if level != workflow.IsolationNone {
 			part.Avoid = avoid
 		}
@@ -173,10 +173,9 @@
 // possibleIsolation returns the isolation of a step's waiting tasks. It is relaxed if the
 // step has waited long for it: long tasks may occupy all workers, or tasks start on all of
 // them all the time.
-func (o *Owner) possibleIsolation(j *job, step workflow.StepID, wanted workflow.Isolation) workflow.Isolation {
-	since, waits := j.isolationWait[step]
-	switch waited := o.now() - since; {
-	case !waits || waited <= maxIsolationWait:
+func (j *job) possibleIsolation(step workflow.StepID, wanted workflow.Isolation) workflow.Isolation {
+	switch waited := j.isolationWait[step]; {
+	case waited <= maxIsolationWait:
 		return wanted
 	case waited <= 2*maxIsolationWait:
 		return min(wanted, workflow.IsolationStart)
@@ -184,13 +183,6 @@
 	return workflow.IsolationNone
 }
 
-// noteIsolationWait records from when on a step waits only because it has to be kept apart.
-func (o *Owner) noteIsolationWait(g group) {
-	if _, waits := g.job.isolationWait[g.stepID]; !waits {
-		g.job.isolationWait[g.stepID] = o.now()
-	}
-}
-
 // isolates reports whether a run on the worker is kept apart from other work at present.
 func (o *Owner) isolates(w *worker) bool {
 	for _, r := range w.runs {
@@ -206,14 +198,18 @@
 	return false
 }
 
-// recentStart reports whether a run on the worker is as young as one that may crash it.
-func (o *Owner) recentStart(w *worker) bool {
+// quietAt returns the time from which no run on the worker is as young as one that may crash
+// it.
+func (o *Owner) quietAt(w *worker) time.Duration {
+	at := time.Duration(0)
 	for _, r := range w.runs {
-		if o.beganRecently(r) {
-			return true
+		began := r.startedAt
+		if began == 0 {
+			began = o.now()
 		}
+		at = max(at, began+workflow.StartCrashWindow)
 	}
-	return false
+	return at
 }
 
 // beganRecently reports whether a run has not yet lived for StartCrashWindow, as far as is
--- a/internal/workflowowner/cycle.go
+++ b/internal/workflowowner/cycle.go
@@ -45,6 +45,8 @@
 // cycle makes one decision and carries it out.
 func (o *Owner) cycle() {
 	o.stopIncompleteGangs()
+	sinceLastCycle := min(o.now()-o.lastCycle, 2*tickInterval)
+	o.lastCycle = o.now()
 	snap, groups := o.snapshot()
 	o.reportLoad(snap)
 	o.startAdviceCall(snap, groups)
@@ -64,7 +66,7 @@
 	for i, reason := range plan.Waits {
 		g := groups[i]
 		if reason == workflowscheduler.WaitsForIdle {
-			o.noteIsolationWait(g)
+			g.job.isolationWait[g.stepID] += sinceLastCycle
 		}
 		waiting := waitingTasks{g.stepID, snap.Groups[i].Isolation}
 		if g.job.waitReasons[waiting] != string(reason) {
@@ -176,7 +178,7 @@
 		}
 		snap.Workers = append(snap.Workers, workflowscheduler.Worker{
 			ID: w.id, Rack: w.info.Rack, Pool: w.info.Pool, Labels: w.info.Labels, Capacity: w.info.Capacity, Free: w.free(),
-			Usable: o.usable(w), RecentStart: o.recentStart(w), Slowdown: 1, Probe: w.backoff.probing() || o.health.State(now, w.id) == structs.WorkerProbing,
+			Usable: o.usable(w), QuietAt: o.quietAt(w), Slowdown: 1, Probe: w.backoff.probing() || o.health.State(now, w.id) == structs.WorkerProbing,
 		})
 		for _, r := range w.runs {
 			snap.Running = append(snap.Running, o.snapshotRun(r))
--- a/internal/workflowowner/job.go
+++ b/internal/workflowowner/job.go
@@ -34,8 +34,8 @@
 	avoid       map[string]bool // workers on which a run of the job failed
 	readySince  map[workflow.StepID]time.Duration
 	waitReasons map[waitingTasks]string // last logged reason
-	// isolationWait has the time since which a step waits only because it has to be kept
-	// apart.
+	// isolationWait has the time for which a step has waited, since its last start, only
+	// because it has to be kept apart.
 	isolationWait map[workflow.StepID]time.Duration
 	advice        map[workflow.StepID]*advice
 	// rejectedStarts counts, by step, the rejected starts since the last one that
--- a/internal/workflowowner/owner.go
+++ b/internal/workflowowner/owner.go
@@ -142,7 +142,8 @@
 	health    *estimate.Health
 	// loaded is set once all rows up to the takeover have been read.
 	loaded         bool
-	lastReannounce time.Time // when silent agents were last told the owner's address
+	lastReannounce time.Time     // when silent agents were last told the owner's address
+	lastCycle      time.Duration // when the last decision was made
 	// lastLoadReport is when the load was last logged.
 	lastLoadReport time.Time
 	stopped        bool
--- a/internal/workflowscheduler/isolation_test.go
+++ b/internal/workflowscheduler/isolation_test.go
@@ -27,7 +27,7 @@
 	}{
 		{"not beside a task that has just started", 2, func(s *Snapshot) {
 			s.Groups = []Group{isolatedGroup(1, workflow.IsolationStart)}
-			s.Workers[0].RecentStart = true
+			s.Workers[0].QuietAt = second
 		}, []string{"w01"}, ""},
 		{"beside older work, on the worker that has least to lose", 3, func(s *Snapshot) {
 			s.Groups = []Group{isolatedGroup(1, workflow.IsolationStart)}
@@ -112,3 +112,70 @@
 		t.Errorf("starts %v, want none that delay the reservation", p.Starts)
 	}
 }
+
+// Guards against a suspected task that never finds a worker without recent starts, because
+// other tasks start on all workers all the time, so that it had to start beside them and
+// crashed five workers with all their work instead of three.
+func TestWorkersAreKeptClearForSuspectedTasks(t *testing.T) {
+	cases := []struct {
+		name    string
+		suspect Group
+		build   func(*Snapshot)
+		clear   []string // the workers on which nothing starts
+	}{
+		{"the worker that is quiet first", isolatedGroup(1, workflow.IsolationStart), func(s *Snapshot) {
+			s.Workers[0].QuietAt, s.Workers[1].QuietAt, s.Workers[2].QuietAt = 800*time.Millisecond, 300*time.Millisecond, 500*time.Millisecond
+		}, []string{"w01"}},
+		{"not one without capacity for the task", isolatedGroup(1, workflow.IsolationStart), func(s *Snapshot) {
+			s.Workers[0].QuietAt, s.Workers[1].QuietAt, s.Workers[2].QuietAt = 800*time.Millisecond, 300*time.Millisecond, 500*time.Millisecond
+			addRun(s, 1, "x", needGPUs(8), 5*second, nil)
+		}, []string{"w01", "w02"}},
+		{"the worker that is idle first", isolatedGroup(1, workflow.IsolationWorker), func(s *Snapshot) {
+			addRun(s, 0, "x", needGPUs(1), 800*time.Millisecond, nil)
+			addRun(s, 1, "x", needGPUs(1), 400*time.Millisecond, nil)
+			addRun(s, 2, "x", needGPUs(1), 5*second, nil)
+		}, []string{"w01"}},
+		{"none that is idle late", isolatedGroup(1, workflow.IsolationWorker), func(s *Snapshot) {
+			for w := range s.Workers {
+				addRun(s, w, "x", needGPUs(1), 5*second, nil)
+			}
+		}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSnapshot(3)
+			c.build(s)
+			busy := newGroup("healthy", 30, needGPUs(1))
+			busy.Worth = 100 // it is placed first
+			s.Groups = []Group{busy, c.suspect}
+			p := Decide(s)
+			if starts := startedOn(p, 1); len(starts) > 0 {
+				t.Fatalf("the suspected task starts on %v, want that it waits", starts)
+			}
+			var clear []string
+			for _, w := range s.Workers {
+				if !slices.Contains(startedOn(p, 0), w.ID) {
+					clear = append(clear, w.ID)
+				}
+			}
+			if !slices.Equal(clear, c.clear) {
+				t.Errorf("nothing starts on %v, want %v", clear, c.clear)
+			}
+		})
+	}
+}
+
+// Guards against suspected tasks that keep all workers clear, so that nothing else starts.
+func TestFewWorkersAreKeptClear(t *testing.T) {
+	s := newSnapshot(8)
+	for w := range s.Workers {
+		s.Workers[w].QuietAt = second
+	}
+	for range 6 {
+		s.Groups = append(s.Groups, isolatedGroup(1, workflow.IsolationStart))
+	}
+	s.Groups = append(s.Groups, newGroup("healthy", 64, needGPUs(1)))
+	if started := len(startedOn(Decide(s), 6)); started != 48 {
+		t.Errorf("%d healthy tasks start, want 48 on six of eight workers", started)
+	}
+}
--- a/internal/workflowscheduler/workflowscheduler.go
+++ b/internal/workflowscheduler/workflowscheduler.go
@@ -34,8 +34,9 @@
 	Slowdown float64
 	// Probe limits the worker to one task at a time, to test whether it is healthy.
 	Probe bool
-	// RecentStart is set if a task has just started there, or is about to.
-	RecentStart bool
+	// QuietAt is the time from which no task there has just started, on the clock of
+	// Snapshot.Now.
+	QuietAt time.Duration
 }
 
 // Group is a set of identical waiting tasks of one step.
@@ -214,6 +215,9 @@
 	Worker
 	// isolated is set once an isolated task is planned to start there.
 	isolated bool
+	// keptClear is set if only group keptClearFor may start there.
+	keptClear    bool
+	keptClearFor int
 }
 
 // reservation keeps capacity for a waiting group from a time on.
@@ -285,6 +289,7 @@
 	}
 	p.evacuate()
 	p.orderGroups()
+	p.keepWorkersClear()
 	for _, g := range p.groupOrder {
 		p.place(g)
 	}
@@ -401,7 +406,7 @@
 // of node n.
 func (p *planner) slotsIgnoringReservations(g, n int) int {
 	group, w := &p.snap.Groups[g], &p.nodes[n]
-	if !p.eligible(g, n) || !w.admits(group) {
+	if !p.eligible(g, n) || !p.admits(g, n) {
 		return 0
 	}
 	count := w.Free.Count(group.Need)
@@ -467,7 +472,7 @@
 func (p *planner) start(g, task, n int, d time.Duration) {
 	p.capacityVersion++
 	p.nodes[n].Free = p.nodes[n].Free.Add(p.snap.Groups[g].Need, -1)
-	p.nodes[n].RecentStart = true
+	p.nodes[n].QuietAt = p.snap.Now + workflow.StartCrashWindow
 	p.nodes[n].isolated = p.nodes[n].isolated || p.snap.Groups[g].Isolation != workflow.IsolationNone
 	p.plan.Starts = append(p.plan.Starts, Start{Group: g, Task: task, Worker: p.nodes[n].ID, Expected: d})
 }
