Do not take a listing of the same instant as the end of a run

The agent had reported the first as vanished: a listing without the run counted, because it was requested in the instant in which the worker confirmed the start, and not before it. The worker had listed its runs just before it carried out the start.

A listing now has to be requested after the confirmation. Clocks that stand still for a while, or are read twice within their resolution, make this possible outside of the simulation as well.

--- a/internal/workflowagent/session.go
+++ b/internal/workflowagent/session.go
@@ -391,7 +391,7 @@
 		changed = true
 	}
 	for id, r := range s.runs {
-		if present[id] || r.confirmedAt.IsZero() || r.confirmedAt.After(sent) || r.state == workflowrpc.RunRejected || r.state == workflowrpc.RunStarting {
+		if present[id] || r.confirmedAt.IsZero() || !r.confirmedAt.Before(sent) || r.state == workflowrpc.RunRejected || r.state == workflowrpc.RunStarting {
 			continue
 		}
 		r.state, r.reason, changed = workflowrpc.RunRejected, ReasonNotListed, true
