Count a crash only against the tasks that may have caused it

A run that is older than 1 s is no longer blamed while a younger one is on the worker. Crashes that are not at the start now give a task up only if two count against no other job; five crashes at the start do without that, so that a task that cannot be kept apart is bounded as well.

Failed before: TestOlderRunIsNotBlamedBesideYoungOne, and the case of many crashes long after the start in TestCrashesDecideIsolationAndLimit.

--- a/internal/workflow/crash.go
+++ b/internal/workflow/crash.go
@@ -6,33 +6,34 @@
 )
 
 // A task may crash the workers that start it. Nothing reports which task did, so each
-// crash counts as evidence against the tasks that the worker was running. A task whose run
-// had just begun is suspected most, and is kept apart from other work when it starts again:
-// if the next worker crashes too, no other task can be the cause. A task that only ran
-// beside the cause does not crash the next worker.
+// crash counts as evidence against the tasks that the worker was running: against those
+// whose run had just begun, if there are any, or else against all. A suspected task is kept
+// apart from other work when it starts again: if the next worker crashes too, no other task
+// can be the cause. A task that only ran beside the cause does not crash the next worker.
 
 // StartCrashWindow is the age of a run up to which a crash of its worker counts as a crash
 // at its start. It includes the time in which an agent notices a crash.
 const StartCrashWindow = time.Second
 
-// Limits of the crashes under a task. A task is given up once it has crashed
-// maxStartCrashes workers at its start, of which minCrashesAlone with no other job under
-// suspicion: workers also crash by themselves, but hardly so often just as the same task
-// starts. maxCrashes counts all crashes, whatever the age of the run, for tasks that crash
-// their worker later.
+// Limits of the crashes under a task, from which it is given up: maxStartCrashes at its
+// start, or maxCrashes in all, of which minCrashesAlone count against no other job. Workers
+// also crash by themselves, but hardly so often just as the same task starts.
+// maxSharedStartCrashes at its start are enough if it could not be kept apart.
 const (
-	maxStartCrashes = 3
-	minCrashesAlone = 2
-	maxCrashes      = 5
+	maxStartCrashes       = 3
+	maxCrashes            = 5
+	maxSharedStartCrashes = 5
+	minCrashesAlone       = 2
 )
 
 // Crash records that a worker crashed while a run of a task was on it.
 type Crash struct {
 	Worker      string `json:"worker"`
 	Incarnation int64  `json:"incarnation"`
-	// AtStart is set if the run was younger than StartCrashWindow.
+	// AtStart is set if the run was younger than StartCrashWindow. If it is not set, there
+	// was no such run on the worker.
 	AtStart bool `json:"atStart,omitempty"`
-	// Alone is set with AtStart if no run of another job on the worker was as young.
+	// Alone is set if the crash counts against no other job.
 	Alone bool `json:"alone,omitempty"`
 }
 
@@ -69,8 +70,8 @@
 	return *known != before
 }
 
-// countCrashes returns the number of crashes at the start of task i, and how many of them
-// count against this task alone.
+// countCrashes returns the number of crashes at the start of task i, and how many crashes
+// count against its job alone.
 func (p *StepProgress) countCrashes(i int) (atStart, alone int) {
 	for _, c := range p.Crashes[i] {
 		if c.AtStart {
@@ -87,7 +88,7 @@
 // start again.
 func (p *StepProgress) crashLimitReached(i int) bool {
 	atStart, alone := p.countCrashes(i)
-	return atStart >= maxStartCrashes && alone >= minCrashesAlone || len(p.Crashes[i]) >= maxCrashes
+	return alone >= minCrashesAlone && (atStart >= maxStartCrashes || len(p.Crashes[i]) >= maxCrashes) || atStart >= maxSharedStartCrashes
 }
 
 // Isolation returns how task i of the step has to be kept apart when it starts again. A
@@ -97,7 +98,7 @@
 	switch {
 	case len(p.Crashes[i]) >= maxStartCrashes && !s.Persistent:
 		return IsolationRun
-	case atStart > 1 || alone > 0:
+	case atStart > 1 || atStart > 0 && alone > 0:
 		return IsolationWorker
 	case atStart > 0:
 		return IsolationStart
--- a/internal/workflowowner/crash.go
+++ b/internal/workflowowner/crash.go
@@ -30,8 +30,8 @@
 	AgeMs int64  `json:"ageMs"`
 }
 
-// recordCrash records the crash of a worker under the tasks that it had begun, and gives up
-// the jobs of tasks that have crashed too many workers. The report may be of an earlier
+// recordCrash records the crash of a worker under the tasks that may have caused it, and
+// gives up the jobs of tasks that have crashed too many workers. The report may be of an earlier
 // incarnation, and may repeat one that is recorded.
 func (o *Owner) recordCrash(args *workflowrpc.SyncArgs) {
 	if args.Worker.End != workflowrpc.WorkerCrashed {
@@ -39,8 +39,7 @@
 	}
 	w := o.workers[args.Worker.ID]
 	current := w != nil && w.incarnation == args.Worker.Incarnation && !w.lost
-	var begun []workflowrpc.Run
-	startedJobs := map[string]bool{} // jobs with a run that had just begun
+	var begun, young []workflowrpc.Run // young runs had just begun
 	for _, report := range args.Runs {
 		if current && w.runs[report.ID] != nil {
 			w.runs[report.ID].ageAtCrash = report.AgeAtCrash
@@ -49,13 +48,21 @@
 			begun = append(begun, report)
 		}
 		if atStart(report) {
-			startedJobs[report.ID.Task.Job] = true
+			young = append(young, report)
 		}
 	}
+	suspects := young
+	if len(young) == 0 {
+		suspects = begun
+	}
+	jobs := map[string]bool{}
+	for _, report := range suspects {
+		jobs[report.ID.Task.Job] = true
+	}
 	changed := false
-	for _, report := range begun {
+	for _, report := range suspects {
 		changed = o.recordTaskCrash(report.ID.Task, workflow.Crash{
-			Worker: args.Worker.ID, Incarnation: args.Worker.Incarnation, AtStart: atStart(report), Alone: atStart(report) && len(startedJobs) == 1,
+			Worker: args.Worker.ID, Incarnation: args.Worker.Incarnation, AtStart: atStart(report), Alone: len(jobs) == 1,
 		}) || changed
 	}
 	if !changed && !current {
