--- a/internal/workflowowner/crash.go
+++ b/internal/workflowowner/crash.go
@@ -31,15 +31,15 @@
 }
 
 // recordCrash records the crash of a worker under the tasks that may have caused it, and
-// gives up the jobs of tasks that have crashed too many workers. The report may be of an earlier
-// incarnation, and may repeat one that is recorded.
+// gives up the jobs of tasks that have crashed too many workers. The report may be of an
+// earlier incarnation, and may repeat one that is recorded.
 func (o *Owner) recordCrash(args *workflowrpc.SyncArgs) {
 	if args.Worker.End != workflowrpc.WorkerCrashed {
 		return
 	}
 	w := o.workers[args.Worker.ID]
 	current := w != nil && w.incarnation == args.Worker.Incarnation && !w.lost
-	var begun, young []workflowrpc.Run // young runs had just begun
+	var begun []workflowrpc.Run
 	for _, report := range args.Runs {
 		if current && w.runs[report.ID] != nil {
 			w.runs[report.ID].ageAtCrash = report.AgeAtCrash
@@ -47,35 +47,48 @@
 		if report.AgeAtCrash > 0 {
 			begun = append(begun, report)
 		}
-		if atStart(report) {
-			young = append(young, report)
-		}
-	}
-	suspects := young
-	if len(young) == 0 {
-		suspects = begun
-	}
-	jobs := map[string]bool{}
-	for _, report := range suspects {
-		jobs[report.ID.Task.Job] = true
 	}
+	suspects, alone := crashSuspects(begun)
 	changed := false
 	for _, report := range suspects {
 		changed = o.recordTaskCrash(report.ID.Task, workflow.Crash{
-			Worker: args.Worker.ID, Incarnation: args.Worker.Incarnation, AtStart: atStart(report), Alone: len(jobs) == 1,
+			Worker: args.Worker.ID, Incarnation: args.Worker.Incarnation, AtStart: atStart(report), Alone: alone,
 		}) || changed
 	}
-	if !changed && !current {
-		return // repeats an earlier report
+	if changed || current { // else it repeats an earlier report
+		o.logCrash(args, begun)
 	}
+}
+
+// crashSuspects returns those of a crashed worker's runs that may have crashed it: the ones
+// that had just begun or, if there are none, all. alone reports whether they are of one job.
+func crashSuspects(begun []workflowrpc.Run) (suspects []workflowrpc.Run, alone bool) {
+	for _, r := range begun {
+		if atStart(r) {
+			suspects = append(suspects, r)
+		}
+	}
+	if len(suspects) == 0 {
+		suspects = begun
+	}
+	for _, r := range suspects {
+		if r.ID.Task.Job != suspects[0].ID.Task.Job {
+			return suspects, false
+		}
+	}
+	return suspects, true
+}
+
+// logCrash logs the crash of a worker with the runs that it had begun, the newest first.
+func (o *Owner) logCrash(args *workflowrpc.SyncArgs, begun []workflowrpc.Run) {
 	slices.SortFunc(begun, func(a, b workflowrpc.Run) int {
 		return cmp.Or(cmp.Compare(a.AgeAtCrash, b.AgeAtCrash), a.ID.Compare(b.ID))
 	})
-	logged := make([]crashedRun, 0, min(len(begun), maxLoggedRuns))
+	newest := make([]crashedRun, 0, min(len(begun), maxLoggedRuns))
 	for _, r := range begun[:min(len(begun), maxLoggedRuns)] {
-		logged = append(logged, crashedRun{r.ID.String(), r.AgeAtCrash.Milliseconds()})
+		newest = append(newest, crashedRun{r.ID.String(), r.AgeAtCrash.Milliseconds()})
 	}
-	o.opts.Log.Event("worker_crashed", "worker", args.Worker.ID, "incarnation", args.Worker.Incarnation, "runs", len(begun), "newest", logged)
+	o.opts.Log.Event("worker_crashed", "worker", args.Worker.ID, "incarnation", args.Worker.Incarnation, "runs", len(begun), "newest", newest)
 }
 
 // atStart reports whether a run had just begun when its worker crashed.
