--- a/internal/scheduler/statemachine_test.go
+++ b/internal/scheduler/statemachine_test.go
@@ -244,7 +244,9 @@
 //     accelerators of the same two workers. After that, the checker finds no blocks for all unused
 //     guaranteed units: the unused guarantees no longer pack. Not fixed; see
 //     KNOWN-RED.txt.
-var failedSeeds = []string{"17466224753632383381"}
+//   - 9316058612141896704: a job waits for its victims to stop in four decisions in a row.
+//     Not fixed; see KNOWN-RED.txt.
+var failedSeeds = []string{"17466224753632383381", "9316058612141896704"}
 
 // TestStateMachineSeeds runs TestStateMachine with the seeds in failedSeeds.
 func TestStateMachineSeeds(t *testing.T) {
