Handle the report of an ended worker in a function of its own

Sync had grown two branches for it. The log names which worker has replaced another, and a start that is withdrawn says that there is no capacity left, which is also so beside a run of an unknown job.

--- a/internal/workflowowner/capacity.go
+++ b/internal/workflowowner/capacity.go
@@ -33,7 +33,7 @@
 		if free.Fits(workflow.Resources{}) {
 			return
 		}
-		o.stopRun(r, "capacity shrank")
+		o.stopRun(r, "no capacity left")
 		free = free.Add(r.step.HeldResources(), 1)
 	}
 }
--- a/internal/workflowowner/cycle.go
+++ b/internal/workflowowner/cycle.go
@@ -146,7 +146,8 @@
 	return workflow.TaskID{Job: g.job.id, Occurrence: g.stepID.Occurrence, Step: g.stepID.Step, Index: index}
 }
 
-// orderStart registers a run. The next reply to the agent carries the order.
+// orderStart registers a run of a task of the snapshot's group from. The next reply to the
+// agent carries the order.
 func (o *Owner) orderStart(g group, task workflow.TaskID, attempt int, w *worker, expected time.Duration, from *workflowscheduler.Group) {
 	j := g.job
 	step := &j.record.Spec.Steps[task.Step]
--- a/internal/workflowowner/worker.go
+++ b/internal/workflowowner/worker.go
@@ -219,18 +219,11 @@
 		return
 	}
 	if args.Worker.Gone {
-		o.recordCrash(args)
+		o.syncEnded(args, reply, deadline.C)
+		return
 	}
 	wasUsable := o.usable(o.workers[args.Worker.ID])
 	w, current := o.acceptCall(args)
-	if args.Worker.Gone {
-		if current {
-			o.applyReport(w, args)
-			o.removeWorker(w, cmp.Or(string(args.Worker.End), "gone"))
-		}
-		reply.ReportAgain = !o.awaitCrashStored(args, deadline.C)
-		return
-	}
 	if !current {
 		reply.Superseded = w != nil && args.Worker.Incarnation == w.incarnation
 		return
@@ -279,6 +272,17 @@
 	w.lastReply = time.Now()
 }
 
+// syncEnded handles the report of an incarnation of a worker that has ended. It waits for
+// the store until the deadline. o.mu must be held; it is released while waiting.
+func (o *Owner) syncEnded(args *workflowrpc.SyncArgs, reply *workflowrpc.SyncReply, deadline <-chan time.Time) {
+	o.recordCrash(args) // also of an earlier incarnation
+	if w, current := o.acceptCall(args); current {
+		o.applyReport(w, args)
+		o.removeWorker(w, cmp.Or(string(args.Worker.End), "gone"))
+	}
+	reply.ReportAgain = !o.awaitCrashStored(args, deadline)
+}
+
 // renewPoll replaces the poll channel if it is closed.
 func (w *worker) renewPoll() {
 	select {
@@ -340,6 +344,7 @@
 func (o *Owner) removeReplaced(w *worker) {
 	for _, other := range o.workers {
 		if other != w && other.info.Addr != "" && other.info.Addr == w.info.Addr && other.incarnation < w.incarnation && !other.lost {
+			o.opts.Log.Event("worker_replaced", "worker", other.id, "by", w.id)
 			o.removeWorker(other, "replaced")
 		}
 	}
