Report ended workers before an agent leaves

Two of the crashes were not recorded. In both cases the agent got SIGTERM within 0.3 s of the crash: once before connections had been refused for long enough to count the worker as ended, once while it waited for a new owner to answer its report. Its next process does not know what ran on the worker.

An agent that leaves now waits, for up to 1.5 s of its time to leave, until the owner has answered its reports of ended workers, and until it is clear whether a worker that has just left a call unanswered has ended. Without such workers it leaves at once.

Pending calls to a worker of the simulation whose process ends now fail with a reset, as those to a real one, and not as if its successor had answered.

--- a/internal/workflowagent/crash.go
+++ b/internal/workflowagent/crash.go
@@ -41,3 +41,43 @@
 	}
 	return max(s.endedAt-r.sentAt, 1)
 }
+
+// endPollInterval is the interval at which AwaitReportedEnds looks at the sessions.
+const endPollInterval = 20 * time.Millisecond
+
+// AwaitReportedEnds waits until the owner has been told of all workers that have ended, and
+// until it is clear of each worker that has just left a call unanswered whether it has. An
+// agent that is about to be replaced calls it, since the next process does not know what
+// ran on them. It returns at once if there are none, and at the latest when ctx ends.
+func (a *Agent) AwaitReportedEnds(ctx context.Context) {
+	ticker := time.NewTicker(endPollInterval)
+	defer ticker.Stop()
+	for a.hasUnreportedEnd() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			a.opts.Log.Event("ends_not_reported", "err", ctx.Err().Error())
+			return
+		}
+	}
+}
+
+// hasUnreportedEnd reports whether a session is of a worker that has ended, or that may
+// have.
+func (a *Agent) hasUnreportedEnd() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range a.sessions {
+		if s.isEnding() {
+			return true
+		}
+	}
+	return false
+}
+
+// isEnding reports whether the worker has ended, or has just left a call unanswered.
+func (s *session) isEnding() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gone || s.failedSince != 0 && !s.silent
+}
--- a/internal/workflowdaemon/agent.go
+++ b/internal/workflowdaemon/agent.go
@@ -37,8 +37,13 @@
 	cancel context.CancelFunc
 }
 
-// extendTimeout limits the final lease renewal of an agent that is shutting down.
-const extendTimeout = 300 * time.Millisecond
+const (
+	// extendTimeout limits the final lease renewal of an agent that is shutting down.
+	extendTimeout = 300 * time.Millisecond
+	// endReportTimeout limits the time in which it reports workers that have ended. It is
+	// enough to detect the end and for the takeover of a new owner.
+	endReportTimeout = 1500 * time.Millisecond
+)
 
 // NewAgent returns an agent that runs until Close or Kill.
 func NewAgent(o AgentOptions) *Agent {
@@ -80,9 +85,12 @@
 // deployment.
 const maxEntries = 100
 
-// Close renews the leases, so that the next process can take over the runs, and
-// stops the agent.
+// Close reports the workers that have ended, renews the leases of the others, so that the
+// next process can take over the runs, and stops the agent.
 func (a *Agent) Close() {
+	reported, cancelReports := context.WithTimeout(context.Background(), endReportTimeout)
+	defer cancelReports()
+	a.AwaitReportedEnds(reported)
 	ctx, cancel := context.WithTimeout(context.Background(), extendTimeout)
 	defer cancel()
 	a.ExtendLeases(ctx)
--- a/internal/workflowdaemon/sim_crash_test.go
+++ b/internal/workflowdaemon/sim_crash_test.go
@@ -220,3 +220,30 @@
 		})
 	}
 }
+
+// Guards against a crash that is forgotten because the agent is replaced just then: the
+// worker has crashed, but its connections have not been refused for long enough to tell, or
+// the owner has not answered the report yet (TestSoak, seed 7004).
+func TestCrashingTaskIsGivenUpWhileAgentsAreReplaced(t *testing.T) {
+	runScenario(t, func(s *sim) {
+		s.submitCrashing()
+		for n := range maxSimCrashes {
+			s.waitForCrashes(n + 1)
+			for _, w := range s.workers {
+				w.mu.Lock()
+				refusing := w.refusing
+				w.mu.Unlock()
+				if refusing {
+					s.endAgent(w.id, (*Agent).Close)
+					s.startAgent(w.id)
+				}
+			}
+		}
+		s.expectState(crashingJob, workflow.StateFailed)
+		s.history.mu.Lock()
+		defer s.history.mu.Unlock()
+		if n := s.history.mostCrashes(crashingJob); n > maxSimCrashes {
+			t.Errorf("the task has crashed %d workers, want %d", n, maxSimCrashes)
+		}
+	})
+}
--- a/internal/workflowdaemon/sim_test.go
+++ b/internal/workflowdaemon/sim_test.go
@@ -230,7 +230,10 @@
 	s.agents[worker] = a
 }
 
-func (s *sim) killAgent(worker string) {
+func (s *sim) killAgent(worker string) { s.endAgent(worker, (*Agent).Kill) }
+
+// endAgent ends the agent of a worker with the given method, unless it has ended.
+func (s *sim) endAgent(worker string, end func(*Agent)) {
 	s.mu.Lock()
 	a := s.agents[worker]
 	delete(s.agents, worker)
@@ -241,7 +244,7 @@
 	s.net.mu.Lock()
 	delete(s.net.services, "agent-"+worker)
 	s.net.mu.Unlock()
-	a.Kill()
+	end(a)
 }
 
 // setIsolated sets whether a process reaches neither other processes nor the store.
--- a/internal/workflowdaemon/sim_worker_test.go
+++ b/internal/workflowdaemon/sim_worker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -377,6 +378,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	l := workflowagent.Listing{Answer: workflowagent.Answer{Clock: w.clock()}, Incarnation: w.incarnation, Ended: slices.Clone(w.unackedEnds)}
+	if w.refusing {
+		return workflowagent.Listing{}, errors.New("connection reset")
+	}
 	if w.incarnation != c.incarnation || !w.up {
 		return workflowagent.Listing{}, workflowagent.ErrOtherIncarnation
 	}
