--- a/internal/workflowdaemon/sim_test.go
+++ b/internal/workflowdaemon/sim_test.go
@@ -360,7 +360,11 @@
 //     that nothing ran (TWICE).
 //   - 24: the repairs of two faults started two agents for one worker, and one
 //     outlived the simulation.
-var regressionSeeds = []uint64{59, 38, 37, 18, 24}
+//   - 118, with worker trouble: a listing that was requested in the instant in which the
+//     worker confirmed a start was taken as the end of the run (TWICE).
+//   - 47, 160, 215 and 265, with worker trouble: a task that was five times beside one that
+//     had just started and crashed the worker was given up (LOST).
+var regressionSeeds = []uint64{59, 38, 37, 18, 24, 118, 47, 160, 215, 265}
 
 // Guards against tasks that run twice, start before their dependencies are done,
 // start after too many failures or start without a request, and against accepted
