Log slow reads of the store by attempt and the age of the configuration

The hypotheses of the late configuration differ in what a late entry does before the version comes into force, which no log shows. A read that takes longer than it may wait is logged with each attempt, its target and its time (store_read_slow). The configuration in force has an age: the time since a read confirmed that it is the operator's newest. No decision changes.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -94,8 +94,34 @@
 // ActiveConfig holds the configuration in force. Its version only increases. It is
 // safe for concurrent use.
 type ActiveConfig struct {
-	Log     *eventlog.Log
+	Log *eventlog.Log
+	// Clock is a monotonic clock that keeps running while the machine is suspended.
+	Clock   func() time.Duration
 	current atomic.Pointer[Config]
+	// confirmedAt is the latest time on Clock at which the configuration in force is known
+	// to have been the operator's newest, in nanoseconds plus one; 0 if there is none.
+	confirmedAt atomic.Int64
+}
+
+// Confirm records that the configuration in force, or a newer one that the caller has
+// passed to SetIfNewer, was the operator's newest at a time on Clock.
+func (h *ActiveConfig) Confirm(at time.Duration) {
+	for {
+		old := h.confirmedAt.Load()
+		if int64(at) < old || h.confirmedAt.CompareAndSwap(old, int64(at)+1) {
+			return
+		}
+	}
+}
+
+// Age returns the time since the configuration in force was last known to be the
+// operator's newest; false if it never was.
+func (h *ActiveConfig) Age() (time.Duration, bool) {
+	at := h.confirmedAt.Load()
+	if at == 0 {
+		return 0, false
+	}
+	return max(0, h.Clock()-time.Duration(at-1)), true
 }
 
 // Current returns the configuration in force, or nil if none is known yet.
@@ -115,8 +141,9 @@
 			if old != nil {
 				before = old.Version
 			}
+			age, _ := h.Age()
 			h.Log.Event("config_in_force", "version", c.Version, "before", before, "queues", len(c.Queues),
-				"accounts", len(c.Accounts), "keys", len(c.byKey), "source", source)
+				"accounts", len(c.Accounts), "keys", len(c.byKey), "source", source, "beforeAgeMs", age.Milliseconds())
 			return true
 		}
 	}
--- a/internal/rowstore/failover.go
+++ b/internal/rowstore/failover.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -51,17 +54,24 @@
 	// maxPeersPerCall limits the peers tried for one call, and so the load that
 	// retries cause in an outage.
 	maxPeersPerCall = 2
+	// slowReadTime is the time beyond Wait from which a read is logged as slow.
+	slowReadTime = 250 * time.Millisecond
 )
 
+// Peer is another process that sends calls to the store for this one.
+type Peer struct {
+	Name string
+	Call CallFunc
+}
+
 // Failover sends calls to the store directly, and through peers while the store
 // refuses calls of this process. Writes are repeated too, which is safe: see Txn. It
 // is safe for concurrent use.
 type Failover struct {
 	// Direct sends a call to the store.
 	Direct CallFunc
-	// Peers returns functions that send a call through another process each.
-	Peers func() []CallFunc
-	Log   *eventlog.Log
+	Peers  func() []Peer
+	Log    *eventlog.Log
 
 	mu              sync.Mutex
 	nextDirectCheck time.Time            // while directRefused: when to try the direct connection again
@@ -109,10 +119,18 @@
 	}
 	outcome := verdict.NotRun
 	var lastErr error
-	try := func(call CallFunc) (Answer, bool) {
+	attempts := attemptLog{began: now}
+	defer func() {
+		if took := time.Since(now); !c.Write && took > c.Wait+slowReadTime {
+			f.Log.Event("store_read_slow", "path", c.Path, "scope", c.Scope, "waitMs", c.Wait.Milliseconds(), "tookMs", took.Milliseconds(), "attempts", attempts.String())
+		}
+	}()
+	try := func(via string, call CallFunc) (Answer, bool) {
 		attempt, cancel := context.WithTimeout(ctx, attemptTimeout+c.Wait)
 		defer cancel()
+		attemptBegan := time.Now()
 		a, err := call(attempt, c)
+		attempts.add(via, attemptBegan, a, err)
 		if err == nil && a.Status != http.StatusServiceUnavailable && a.Status != http.StatusTooManyRequests {
 			return a, true
 		}
@@ -126,7 +144,7 @@
 		return a, false
 	}
 	if !viaPeers {
-		a, ok := try(f.Direct)
+		a, ok := try(viaDirect, f.Direct)
 		if ok {
 			f.recordDirectSuccess(c)
 			return a, nil
@@ -140,7 +158,7 @@
 		return a, nil
 	}
 	if viaPeers && ctx.Err() == nil {
-		if a, ok := try(f.Direct); ok {
+		if a, ok := try(viaDirect, f.Direct); ok {
 			f.recordDirectSuccess(c)
 			return a, nil
 		}
@@ -156,6 +174,29 @@
 	return Answer{}, callError(outcome, lastErr)
 }
 
+// viaDirect is the name of direct attempts in the log; others have the name of a peer.
+const viaDirect = "store"
+
+// attemptLog describes the attempts of a call: through which process, from when to when
+// in milliseconds after the call began, and with which result.
+type attemptLog struct {
+	began time.Time
+	text  strings.Builder
+}
+
+func (l *attemptLog) add(via string, began time.Time, a Answer, err error) {
+	result := strconv.Itoa(a.Status)
+	if err != nil {
+		result = err.Error()
+	}
+	if l.text.Len() > 0 {
+		l.text.WriteString("; ")
+	}
+	fmt.Fprintf(&l.text, "%s %d-%d: %s", via, began.Sub(l.began).Milliseconds(), time.Since(l.began).Milliseconds(), result)
+}
+
+func (l *attemptLog) String() string { return l.text.String() }
+
 // probeKey is the context key that marks calls as probes.
 type probeKey struct{}
 
@@ -190,7 +231,7 @@
 
 // tryPeers tries up to maxPeersPerCall peers, beginning with nextPeer, and reports
 // whether one of them answered.
-func (f *Failover) tryPeers(ctx context.Context, try func(CallFunc) (Answer, bool)) (Answer, bool) {
+func (f *Failover) tryPeers(ctx context.Context, try func(via string, call CallFunc) (Answer, bool)) (Answer, bool) {
 	peers := f.Peers()
 	if len(peers) == 0 {
 		return Answer{}, false
@@ -203,7 +244,7 @@
 			break
 		}
 		index := (first + i) % len(peers)
-		if a, ok := try(peers[index]); ok {
+		if a, ok := try(peers[index].Name, peers[index].Call); ok {
 			f.mu.Lock()
 			f.nextPeer = index
 			f.mu.Unlock()
--- a/internal/rowstore/mirror.go
+++ b/internal/rowstore/mirror.go
@@ -48,6 +48,10 @@
 	// Clock is the monotonic clock for Age. It should keep running while the machine
 	// is suspended if Age must include that time. It must be set before Run.
 	Clock func() time.Duration
+	// OnCurrent is called after each successful call, once onChange has received its
+	// changes, with the time on Clock at which the call began; nil for nothing. It must be
+	// set before Run.
+	OnCurrent func(at time.Duration)
 
 	mu          sync.Mutex
 	rows        map[string]Row
@@ -169,6 +173,9 @@
 	close(m.advanced)
 	m.advanced = make(chan struct{})
 	m.mu.Unlock()
+	if m.OnCurrent != nil {
+		m.OnCurrent(started)
+	}
 	if regained {
 		m.log.Event("store_regained", "table", m.table, "version", page.Version)
 	}
--- a/internal/rowstore/rowstore_test.go
+++ b/internal/rowstore/rowstore_test.go
@@ -117,8 +117,10 @@
 				direct.Add(1)
 				return rowstore.Answer{Status: status}, nil
 			},
-			Peers: func() []rowstore.CallFunc { return []rowstore.CallFunc{respondWith(http.StatusOK, &peer)} },
-			Log:   eventlog.Discard(),
+			Peers: func() []rowstore.Peer {
+				return []rowstore.Peer{{Name: "peer", Call: respondWith(http.StatusOK, &peer)}}
+			},
+			Log: eventlog.Discard(),
 		}
 		for range 5 {
 			if a, err := f.Do(t.Context(), rowstore.Call{}); err != nil || a.Status != http.StatusOK {
@@ -155,8 +157,10 @@
 				<-ctx.Done()
 				return rowstore.Answer{}, rowstore.Unavailable(verdict.NotRun, "no answer")
 			},
-			Peers: func() []rowstore.CallFunc { return []rowstore.CallFunc{respondWith(http.StatusOK, &peer)} },
-			Log:   eventlog.Discard(),
+			Peers: func() []rowstore.Peer {
+				return []rowstore.Peer{{Name: "peer", Call: respondWith(http.StatusOK, &peer)}}
+			},
+			Log: eventlog.Discard(),
 		}
 		if _, err := f.Do(t.Context(), rowstore.Call{}); err != nil {
 			t.Fatal(err)
@@ -186,8 +190,10 @@
 				}
 				return rowstore.Answer{Status: http.StatusOK}, nil
 			},
-			Peers: func() []rowstore.CallFunc { return []rowstore.CallFunc{respondWith(http.StatusTooManyRequests, &peer)} },
-			Log:   eventlog.Discard(),
+			Peers: func() []rowstore.Peer {
+				return []rowstore.Peer{{Name: "peer", Call: respondWith(http.StatusTooManyRequests, &peer)}}
+			},
+			Log: eventlog.Discard(),
 		}
 		for range 10 {
 			if _, err := f.Do(t.Context(), rowstore.Call{}); err != nil {
@@ -215,8 +221,8 @@
 		var calls atomic.Int64
 		f := &rowstore.Failover{
 			Direct: respondWith(http.StatusServiceUnavailable, &calls), Log: eventlog.Discard(),
-			Peers: func() []rowstore.CallFunc {
-				return []rowstore.CallFunc{respondWith(http.StatusServiceUnavailable, &calls)}
+			Peers: func() []rowstore.Peer {
+				return []rowstore.Peer{{Name: "peer", Call: respondWith(http.StatusServiceUnavailable, &calls)}}
 			},
 		}
 		for range 100 {
@@ -232,7 +238,7 @@
 				<-ctx.Done()
 				return rowstore.Answer{}, rowstore.Unavailable(verdict.MayHaveRun, "no answer")
 			},
-			Peers: func() []rowstore.CallFunc { return nil }, Log: eventlog.Discard(),
+			Peers: func() []rowstore.Peer { return nil }, Log: eventlog.Discard(),
 		}
 		if _, err := lost.Do(t.Context(), rowstore.Call{Write: true}); verdict.Of(err) != verdict.MayHaveRun {
 			t.Errorf("write without an answer: verdict %v", verdict.Of(err))
@@ -251,7 +257,7 @@
 				}
 				return rowstore.Answer{Status: http.StatusOK}, nil
 			},
-			Peers: func() []rowstore.CallFunc { return nil }, Log: eventlog.Discard(),
+			Peers: func() []rowstore.Peer { return nil }, Log: eventlog.Discard(),
 		}
 		for range 10 {
 			if _, err := f.Do(t.Context(), rowstore.Call{Write: true, Scope: "down"}); err == nil {
@@ -273,7 +279,7 @@
 			Direct: func(context.Context, rowstore.Call) (rowstore.Answer, error) {
 				return rowstore.Answer{Status: status}, nil
 			},
-			Peers: func() []rowstore.CallFunc { return nil }, Log: eventlog.Discard(),
+			Peers: func() []rowstore.Peer { return nil }, Log: eventlog.Discard(),
 		}
 		call := rowstore.Call{Scope: "a"}
 		for range 2 {
--- a/internal/workflowdaemon/entry.go
+++ b/internal/workflowdaemon/entry.go
@@ -119,12 +119,13 @@
 
 // NewEntry returns an entry that does nothing until Run is called.
 func NewEntry(o EntryOptions) *Entry {
-	e := &Entry{opts: o, Config: &gateway.ActiveConfig{Log: o.Log}, entries: newEntrySet(o.Log), seeds: o.Seeds, peerContacts: map[string]peerContact{}, partialSyncs: map[string]uint64{}}
-	e.failover = &rowstore.Failover{Direct: o.StoreCall, Peers: e.peerStoreCalls, Log: o.Log}
+	e := &Entry{opts: o, Config: &gateway.ActiveConfig{Log: o.Log, Clock: o.Clock}, entries: newEntrySet(o.Log), seeds: o.Seeds, peerContacts: map[string]peerContact{}, partialSyncs: map[string]uint64{}}
+	e.failover = &rowstore.Failover{Direct: o.StoreCall, Peers: e.storePeers, Log: o.Log}
 	e.store = o.NewStore(e.failover.Do)
 	e.tableMirror = rowstore.NewMirror(e.store, Table, o.Log, e.applyRows)
 	e.tableMirror.Pace, e.tableMirror.Clock = e.feedDelay, o.Clock
 	e.operatorMirror = rowstore.NewMirror(e.store, o.OperatorTable, o.Log, e.applyOperatorRows)
+	e.operatorMirror.Clock, e.operatorMirror.OnCurrent = o.Clock, e.Config.Confirm
 	e.Gateway = gateway.New(gateway.Options{Store: e.store, Mirror: e.tableMirror, Table: Table, Log: o.Log, UnixMillis: unixMillis, OnWrite: e.sendToOwner})
 	e.elector = election.New(election.Options{
 		Store: e.store, Mirror: e.tableMirror, Table: Table, Log: o.Log, Clock: o.Clock,
--- a/internal/workflowdaemon/peer.go
+++ b/internal/workflowdaemon/peer.go
@@ -13,11 +13,11 @@
 	"github.com/parsleypier/parsleypier/internal/workflowrpc"
 )
 
-// peerStoreCalls returns functions that call the store through the other entries.
-func (e *Entry) peerStoreCalls() []rowstore.CallFunc {
-	var out []rowstore.CallFunc
+// storePeers returns the other entries as ways to the store.
+func (e *Entry) storePeers() []rowstore.Peer {
+	var out []rowstore.Peer
 	for _, addr := range e.peerAddrsOrSeeds() {
-		out = append(out, e.storeCallVia(addr))
+		out = append(out, rowstore.Peer{Name: addr, Call: e.storeCallVia(addr)})
 	}
 	return out
 }
@@ -129,6 +129,7 @@
 			err := e.opts.Caller.Call(callCtx, addr, workflowrpc.MethodConfig, &workflowrpc.ConfigArgs{}, reply)
 			cancel()
 			if err == nil && len(reply.Document) > 0 {
+				e.opts.Log.Event("config_from_peer", "peer", addr, "version", reply.Version, "ageMs", reply.Age.Milliseconds(), "confirmed", reply.Confirmed)
 				e.applyConfig(reply.Document, addr)
 			}
 		}
@@ -200,6 +201,7 @@
 func (s *peerService) Config(_ *workflowrpc.ConfigArgs, reply *workflowrpc.ConfigReply) error {
 	if c := s.entry.Config.Current(); c != nil {
 		reply.Document, reply.Version = c.Document, c.Version
+		reply.Age, reply.Confirmed = s.entry.Config.Age()
 	}
 	return nil
 }
--- a/internal/workflowrpc/workflowrpc.go
+++ b/internal/workflowrpc/workflowrpc.go
@@ -236,4 +236,8 @@
 	rpc.Reply
 	Document []byte
 	Version  uint64
+	// Age is the time since the receiver last knew this to be the operator's newest
+	// configuration. Confirmed is false if it never did.
+	Age       time.Duration
+	Confirmed bool
 }
