Learn of configurations by several ways that do not wait for each other

Cause: an entry had one read of the operator's table at a time. The failover sent it to one process after another, up to 2 s each and 3 s in all, and did not give it up when another way worked.

Change: an entry follows the operator's table with calls of its own to the store. Once one is overdue or has failed, it asks several other entries at a time for the version that they have, which they answer from memory, and sends further calls to the store, on other connections. The first that succeeds ends a call that is overdue. A peer's answer says how old it is, so that the age of a configuration covers both ways.

Why it works: each way is tried again every 0.25 s whatever the others do, so the delay is that of the best way and not the sum of those that fail. A fault is noticed 1.05 s after the start of a read, the 0.8 s that it may wait and 0.25 s.

TestConfigurationArrivesPastSilentProcess failed in five of seven situations before and passes now.

--- a/internal/rowstore/mirror.go
+++ b/internal/rowstore/mirror.go
@@ -24,11 +24,13 @@
 	// lostGrace is how long after feedWait even a store that is 80 times as slow as
 	// usual answers at the latest.
 	lostGrace = time.Second
-	// mirrorBackoff is the minimum delay after a failed call; with jitter it is up to
-	// twice as long.
-	mirrorBackoff = 100 * time.Millisecond
+	// defaultRetryDelay is the longest delay after a failed call; with jitter it is as short
+	// as half of it.
+	defaultRetryDelay = 200 * time.Millisecond
 	// callTimeout limits a feed call, or a full read of the table, including retries.
 	callTimeout = 3 * time.Second
+	// refreshTimeout limits a call of Refresh.
+	refreshTimeout = attemptTimeout
 	// listPage is the number of rows per page of a full read.
 	listPage = 500
 )
@@ -48,15 +50,20 @@
 	// Clock is the monotonic clock for Age. It should keep running while the machine
 	// is suspended if Age must include that time. It must be set before Run.
 	Clock func() time.Duration
+	// RetryDelay is the longest delay after a failed call; with jitter it is as short as
+	// half of it. It must be set before Run.
+	RetryDelay time.Duration
 	// OnCurrent is called after each successful call, once onChange has received its
 	// changes, with the time on Clock at which the call began; nil for nothing. It must be
 	// set before Run.
 	OnCurrent func(at time.Duration)
 
-	mu          sync.Mutex
-	rows        map[string]Row
-	version     uint64
-	loaded      bool
+	mu      sync.Mutex
+	rows    map[string]Row
+	version uint64
+	loaded  bool
+	// call is the call of Run that is in progress.
+	call        feedCall
 	currentAsOf time.Duration // start of the last call that succeeded, on Clock
 	// answeredAt is when that call was answered.
 	answeredAt time.Time
@@ -64,6 +71,17 @@
 	advanced   chan struct{} // closed and replaced after each successful call
 }
 
+// feedCall is a call in progress: when it began, how long the store may wait before it
+// answers, and what ends it.
+type feedCall struct {
+	began  time.Time
+	wait   time.Duration
+	cancel context.CancelCauseFunc
+}
+
+// errGivenUp is the cause with which Refresh ends an overdue call of Run.
+var errGivenUp = errors.New("another call was answered first")
+
 // NewMirror returns an empty mirror; Run fills it. onChange may be nil.
 func NewMirror(store Store, table string, log *eventlog.Log, onChange func([]Row)) *Mirror {
 	if onChange == nil {
@@ -72,7 +90,7 @@
 	started := time.Now()
 	return &Mirror{
 		store: store, table: table, log: log, onChange: onChange, rows: map[string]Row{}, advanced: make(chan struct{}),
-		Clock: func() time.Duration { return time.Since(started) },
+		Clock: func() time.Duration { return time.Since(started) }, RetryDelay: defaultRetryDelay,
 	}
 }
 
@@ -81,33 +99,83 @@
 	for ctx.Err() == nil {
 		if err := m.step(ctx); err != nil {
 			m.recordFailure(err)
-			retry.Sleep(ctx, retry.Jitter(2*mirrorBackoff))
+			retry.Sleep(ctx, retry.Jitter(m.RetryDelay))
 		}
 	}
 }
 
-// step reads the table, or waits for its next changes.
+// step reads the table, or waits for its next changes. After a failure it does not wait, to
+// find out at once whether the store answers.
 func (m *Mirror) step(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	callCtx, cancelCall := context.WithCancelCause(ctx)
+	defer cancelCall(nil)
+	m.mu.Lock()
+	wait := feedWait
+	if m.failing || !m.loaded {
+		wait = 0
+	}
+	m.call = feedCall{began: time.Now(), wait: wait, cancel: cancelCall}
+	m.mu.Unlock()
+	changed, err := m.read(callCtx, wait)
+	m.mu.Lock()
+	m.call = feedCall{}
+	m.mu.Unlock()
+	if err != nil && errors.Is(context.Cause(callCtx), errGivenUp) {
+		return nil
+	}
+	if err == nil && changed && m.Pace != nil {
+		retry.Sleep(ctx, m.Pace())
+	}
+	return err
+}
+
+// read reads the table if it has not been loaded, or else its changes, for which the store
+// may wait. It reports whether the feed had changes.
+func (m *Mirror) read(ctx context.Context, wait time.Duration) (changed bool, err error) {
 	m.mu.Lock()
 	loaded, version := m.loaded, m.version
 	m.mu.Unlock()
 	started := m.Clock()
 	if !loaded {
-		return m.load(ctx, started)
+		return false, m.load(ctx, started)
 	}
-	page, err := m.store.Feed(ctx, m.table, version, feedWait)
+	page, err := m.store.Feed(ctx, m.table, version, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		m.log.Event("store_history_gone", "table", m.table, "afterVersion", version)
-		return m.load(ctx, started)
+		return false, m.load(ctx, started)
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	m.apply(page, started, false)
-	if len(page.Rows) > 0 && m.Pace != nil {
-		retry.Sleep(ctx, m.Pace())
+	return len(page.Rows) > 0, nil
+}
+
+// Overdue reports whether the call in progress has lasted longer than a healthy store
+// takes to answer it.
+func (m *Mirror) Overdue() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.call.overdue()
+}
+
+func (c feedCall) overdue() bool { return c.cancel != nil && time.Since(c.began) > c.wait+feedGrace }
+
+// Refresh reads the table, or its changes, without waiting for any. It serves to find out
+// what a call that is overdue does not tell. If it succeeds, a call of Run that is overdue
+// by then is given up, so that Run waits for changes on a connection that works.
+func (m *Mirror) Refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	if _, err := m.read(ctx, 0); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.call.overdue() {
+		m.call.cancel(errGivenUp)
 	}
 	return nil
 }
--- a/internal/workflowdaemon/entry.go
+++ b/internal/workflowdaemon/entry.go
@@ -45,9 +45,6 @@
 	// and above the age that is reached between two feed responses when no row
 	// changes and the store is slow.
 	maxRowsAge = 2500 * time.Millisecond
-	// configRetryInterval is the mean interval at which an entry without a
-	// configuration asks other entries for it.
-	configRetryInterval = 300 * time.Millisecond
 	// feedBatchDelay is the pause after a feed response with changes. It is small
 	// compared with the 400 ms or more after which clients ask again.
 	feedBatchDelay = 60 * time.Millisecond
@@ -89,15 +86,15 @@
 
 // Entry is a running entry.
 type Entry struct {
-	opts           EntryOptions
-	Config         *gateway.ActiveConfig
-	Gateway        *gateway.Gateway
-	failover       *rowstore.Failover
-	store          rowstore.Store
-	tableMirror    *rowstore.Mirror
-	operatorMirror *rowstore.Mirror
-	elector        *election.Elector
-	entries        *entrySet
+	opts        EntryOptions
+	Config      *gateway.ActiveConfig
+	Gateway     *gateway.Gateway
+	failover    *rowstore.Failover
+	store       rowstore.Store
+	tableMirror *rowstore.Mirror
+	config      *configWatch
+	elector     *election.Elector
+	entries     *entrySet
 
 	mu    sync.Mutex
 	owner *workflowowner.Owner
@@ -124,8 +121,7 @@
 	e.store = o.NewStore(e.failover.Do)
 	e.tableMirror = rowstore.NewMirror(e.store, Table, o.Log, e.applyRows)
 	e.tableMirror.Pace, e.tableMirror.Clock = e.feedDelay, o.Clock
-	e.operatorMirror = rowstore.NewMirror(e.store, o.OperatorTable, o.Log, e.applyOperatorRows)
-	e.operatorMirror.Clock, e.operatorMirror.OnCurrent = o.Clock, e.Config.Confirm
+	e.config = newConfigWatch(o, e.Config, e.peerAddrsOrSeeds)
 	e.Gateway = gateway.New(gateway.Options{Store: e.store, Mirror: e.tableMirror, Table: Table, Log: o.Log, UnixMillis: unixMillis, OnWrite: e.sendToOwner})
 	e.elector = election.New(election.Options{
 		Store: e.store, Mirror: e.tableMirror, Table: Table, Log: o.Log, Clock: o.Clock,
@@ -147,10 +143,9 @@
 func (e *Entry) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { e.tableMirror.Run(ctx) })
-	wg.Go(func() { e.operatorMirror.Run(ctx) })
+	wg.Go(func() { e.config.run(ctx) })
 	wg.Go(func() { e.elector.Run(ctx) })
 	wg.Go(func() { e.maintainEntryRows(ctx) })
-	wg.Go(func() { e.fetchConfigFromPeers(ctx) })
 	wg.Wait()
 	e.stopOwner("stopped")
 }
@@ -237,27 +232,6 @@
 	return e.owner
 }
 
-// applyOperatorRows reads the configuration from changed rows of the operator's
-// table.
-func (e *Entry) applyOperatorRows(rows []rowstore.Row) {
-	for _, r := range rows {
-		if r.Key != e.opts.ConfigKey || r.Deleted {
-			continue
-		}
-		panicguard.Run(e.opts.Log, "configuration", func() { e.applyConfig(r.Value, "store") })
-	}
-}
-
-// applyConfig decodes a configuration and makes it the active one if it is newer.
-func (e *Entry) applyConfig(document []byte, source string) {
-	c, err := e.opts.DecodeConfig(document)
-	if err != nil {
-		e.opts.Log.Event("config_unreadable", "source", source, "err", err.Error())
-		return
-	}
-	e.Config.SetIfNewer(c, source)
-}
-
 // startOwner starts the owner for a term that this entry has won.
 func (e *Entry) startOwner(term election.Term) {
 	o := workflowowner.New(workflowowner.Options{
--- a/internal/workflowdaemon/peer.go
+++ b/internal/workflowdaemon/peer.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 
 	"github.com/parsleypier/parsleypier/internal/panicguard"
-	"github.com/parsleypier/parsleypier/internal/retry"
 	"github.com/parsleypier/parsleypier/internal/rowstore"
 	"github.com/parsleypier/parsleypier/internal/rpc"
 	"github.com/parsleypier/parsleypier/internal/verdict"
@@ -119,23 +118,6 @@
 	}
 }
 
-// fetchConfigFromPeers asks other entries for the configuration until one is known
-// from them or from the store.
-func (e *Entry) fetchConfigFromPeers(ctx context.Context) {
-	for e.Config.Current() == nil && retry.Sleep(ctx, retry.Jitter(2*configRetryInterval)) {
-		for _, addr := range e.peerAddrsOrSeeds() {
-			callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
-			reply := &workflowrpc.ConfigReply{}
-			err := e.opts.Caller.Call(callCtx, addr, workflowrpc.MethodConfig, &workflowrpc.ConfigArgs{}, reply)
-			cancel()
-			if err == nil && len(reply.Document) > 0 {
-				e.opts.Log.Event("config_from_peer", "peer", addr, "version", reply.Version, "ageMs", reply.Age.Milliseconds(), "confirmed", reply.Confirmed)
-				e.applyConfig(reply.Document, addr)
-			}
-		}
-	}
-}
-
 // tasksService is the RPC service Tasks of an entry.
 type tasksService struct{ entry *Entry }
 
@@ -197,11 +179,15 @@
 	return nil
 }
 
-// Config returns the configuration in force.
-func (s *peerService) Config(_ *workflowrpc.ConfigArgs, reply *workflowrpc.ConfigReply) error {
+// Config returns the configuration in force, without the document if the caller has it.
+func (s *peerService) Config(args *workflowrpc.ConfigArgs, reply *workflowrpc.ConfigReply) error {
+	// The age is read first: it then also holds for a version that comes into force between.
+	reply.Age, reply.Confirmed = s.entry.Config.Age()
 	if c := s.entry.Config.Current(); c != nil {
-		reply.Document, reply.Version = c.Document, c.Version
-		reply.Age, reply.Confirmed = s.entry.Config.Age()
+		reply.Version = c.Version
+		if c.Version > args.Version {
+			reply.Document = c.Document
+		}
 	}
 	return nil
 }
--- a/internal/workflowrpc/workflowrpc.go
+++ b/internal/workflowrpc/workflowrpc.go
@@ -225,13 +225,14 @@
 	Answer rowstore.Answer
 }
 
-// ConfigArgs asks for the configuration in force.
+// ConfigArgs asks for the configuration in force. Version is that of the caller, or 0.
 type ConfigArgs struct {
 	rpc.Header
+	Version uint64
 }
 
-// ConfigReply returns the configuration as the operator wrote it. Document is empty
-// if the receiver has none.
+// ConfigReply returns the version of the configuration in force, or 0 if the receiver has
+// none, and the document as the operator wrote it if it is newer than the caller's.
 type ConfigReply struct {
 	rpc.Reply
 	Document []byte
