Begin with another entry's configuration only if it is recent

A restarted entry that the store did not answer took the first version that any other entry knew. That entry may have lost the store long before: keys that had been withdrawn were accepted again, and routes that had been added were refused.

Cause: the answer of a peer had no age. An entry that has a configuration still takes any newer one.

--- a/internal/workflowdaemon/config.go
+++ b/internal/workflowdaemon/config.go
@@ -94,7 +94,8 @@
 	defer cancel()
 	began := w.opts.Clock()
 	args, reply := &workflowrpc.ConfigArgs{}, &workflowrpc.ConfigReply{}
-	if current := w.active.Current(); current != nil {
+	current := w.active.Current()
+	if current != nil {
 		args.Version = current.Version
 	}
 	// A peer that does not answer is asked again in turn.
@@ -102,7 +103,10 @@
 		return
 	}
 	at := began - reply.Age
-	if len(reply.Document) > 0 {
+	// An older configuration may have been replaced, and would bring back withdrawn keys. An
+	// entry that has one takes any newer one.
+	usable := current != nil || reply.Confirmed && w.opts.Clock()-at <= w.opts.MaxConfigAge
+	if len(reply.Document) > 0 && usable {
 		w.opts.Log.Event("config_from_peer", "peer", addr, "version", reply.Version, "ageMs", reply.Age.Milliseconds(), "confirmed", reply.Confirmed)
 		w.apply(reply.Document, addr)
 	}
--- a/internal/workflowdaemon/entry.go
+++ b/internal/workflowdaemon/entry.go
@@ -69,6 +69,9 @@
 	// OperatorTable and ConfigKey identify the row of the operator's configuration.
 	OperatorTable, ConfigKey string
 	DecodeConfig             func([]byte) (*gateway.Config, error)
+	// MaxConfigAge is the time after which a configuration that the operator has stored must
+	// be in force at every entry.
+	MaxConfigAge time.Duration
 	// Times are the durations that the owner works with, such as that of a lease.
 	Times workflowowner.Times
 	Log   *eventlog.Log
--- a/internal/workflowdaemon/sim_config_test.go
+++ b/internal/workflowdaemon/sim_config_test.go
@@ -18,8 +18,10 @@
 )
 
 const (
+	// simApplyLimit is the time after which the platform expects a configuration in force.
+	simApplyLimit = 2 * time.Second
 	// configBound is the time within which a configuration has to be in force at every entry
-	// that can learn of it. The platform allows 2 s from its confirmation to the next request.
+	// that can learn of it. It leaves a request a quarter of simApplyLimit.
 	configBound = 1500 * time.Millisecond
 	// configContact is the time for which a way to the store has to have worked before an
 	// entry has to keep the bound by it.
@@ -97,7 +99,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	e := NewEntry(EntryOptions{
 		ID: id, RPCAddr: id, Seeds: slices.DeleteFunc(slices.Clone(s.ids), func(other string) bool { return other == id }), Log: s.log, Caller: simCaller{s.net, id}, OperatorTable: "op", ConfigKey: "config",
-		DecodeConfig: decodeTestConfig, StoreCall: path.call, NewStore: newCallStore,
+		DecodeConfig: decodeTestConfig, MaxConfigAge: simApplyLimit, StoreCall: path.call, NewStore: newCallStore,
 		Clock:       func() time.Duration { return time.Since(s.started) },
 		ProcessGone: func(context.Context, string) bool { return false },
 		Times:       workflowowner.Times{Lease: simMaxLease, StopGrace: simStopGrace, GangWait: simGangWait, JobRetention: time.Minute, RemotePenalty: 3},
--- a/internal/workflowdaemon/sim_test.go
+++ b/internal/workflowdaemon/sim_test.go
@@ -163,7 +163,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	direct := s.table.ClientFor(id)
 	e := NewEntry(EntryOptions{
-		ID: id, RPCAddr: id, Log: s.log, Caller: simCaller{s.net, id}, OperatorTable: "op", ConfigKey: "config", DecodeConfig: simDecode,
+		ID: id, RPCAddr: id, Log: s.log, Caller: simCaller{s.net, id}, OperatorTable: "op", ConfigKey: "config", DecodeConfig: simDecode, MaxConfigAge: simApplyLimit,
 		// The stub table is called directly, so the call function is not used.
 		NewStore: func(rowstore.CallFunc) rowstore.Store { return isolatableStore{direct, s.net, id} },
 		Clock:    func() time.Duration { return time.Since(s.history.startedAt) },
