Give no final answer by a configuration that may have been replaced

An entry answered 401 and 404, and ran requests, by the configuration that it had, however old.

Cause: serving by a configuration is a permission that runs out (the platform's applyMs), and no request checked it. With several ways to learn of a version it rarely is old, but a pause, or the loss of all ways, still makes it so.

Change: before a request is judged by a configuration older than the bound, the store and other entries are asked once for all waiting requests, for 0.25 s at most and not again for 0.5 s.

--- a/cmd/parsleypierd/hosted.go
+++ b/cmd/parsleypierd/hosted.go
@@ -109,7 +109,7 @@
 	go reload(e.SetSeeds)
 	metrics := newMetrics()
 	publishConfig(e.Config)
-	clients := &platform.ClientHandler{Gateway: e.Gateway, Config: e.Config, Log: log, Leaving: e.Leaving, ObserveRequest: metrics.observeRequest}
+	clients := &platform.ClientHandler{Gateway: e.Gateway, Config: e.Config, RefreshConfig: e.RefreshConfig, Log: log, Leaving: e.Leaving, ObserveRequest: metrics.observeRequest}
 	servers := []*http.Server{
 		{Addr: s.ClientAddr, Handler: clients, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes},
 		{Addr: s.ReadinessAddr, Handler: platform.ReadinessHandler(e.Ready), ReadHeaderTimeout: readHeaderTimeout},
--- a/internal/workflowdaemon/config.go
+++ b/internal/workflowdaemon/config.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/parsleypier/parsleypier/internal/gateway"
 	"github.com/parsleypier/parsleypier/internal/panicguard"
 	"github.com/parsleypier/parsleypier/internal/retry"
@@ -28,6 +30,12 @@
 	// configAnnounceDelay is the time that the store has to deliver a version that another
 	// entry has announced, before that entry is asked for it.
 	configAnnounceDelay = 50 * time.Millisecond
+	// requestRefreshTimeout limits how long a request waits until the configuration is known to
+	// be recent.
+	requestRefreshTimeout = 250 * time.Millisecond
+	// requestRefreshDelay is the time after a refresh in vain for which requests do not wait
+	// for another one.
+	requestRefreshDelay = 500 * time.Millisecond
 	// maxConfigRefreshes limits the concurrent calls to a store that does not answer.
 	maxConfigRefreshes = 4
 )
@@ -48,10 +56,15 @@
 	// inForce has a value while a new version is to be announced.
 	inForce chan struct{}
 
+	// requests combines the refreshes of concurrent requests.
+	requests singleflight.Group
+
 	mu        sync.Mutex
 	asking    map[string]bool // peers with a call in progress
 	nextPeer  int
 	refreshes int // calls of Refresh in progress
+	// noRefreshBefore is when a request may wait for a refresh again.
+	noRefreshBefore time.Time
 }
 
 func newConfigWatch(o EntryOptions, active *gateway.ActiveConfig, peers func() []string) *configWatch {
@@ -78,6 +91,69 @@
 	wg.Wait()
 }
 
+// isRecent reports whether the configuration in force includes every version that the
+// operator stored more than MaxConfigAge ago.
+func (w *configWatch) isRecent() bool {
+	age, confirmed := w.active.Age()
+	return confirmed && age <= w.opts.MaxConfigAge
+}
+
+// refreshForRequest asks the store and other entries for newer versions if the configuration
+// is not known to be recent, as after a pause of this process. It reports whether it is known
+// to be recent then.
+func (w *configWatch) refreshForRequest() bool {
+	if w.isRecent() {
+		return true
+	}
+	w.mu.Lock()
+	wait := !time.Now().Before(w.noRefreshBefore)
+	w.mu.Unlock()
+	if !wait {
+		return false
+	}
+	// The function returns no error.
+	_, _, _ = w.requests.Do("", func() (any, error) {
+		w.refreshUntilRecent()
+		return nil, nil
+	})
+	return w.isRecent()
+}
+
+// refreshUntilRecent asks the store and several entries at once, and waits until one of them
+// has answered that the configuration is recent, for at most requestRefreshTimeout.
+func (w *configWatch) refreshUntilRecent() {
+	// The calls end by their own timeouts: to cancel one would close its connection.
+	ctx := context.Background()
+	calls := []func(){func() { _ = w.mirror.Refresh(ctx) }}
+	for _, addr := range nextPeers(w.peers(), w.opts.RPCAddr, maxPeersPerCheck) {
+		calls = append(calls, func() { w.askPeer(ctx, addr) })
+	}
+	ended := make(chan struct{}, len(calls))
+	for _, call := range calls {
+		go func() {
+			call()
+			ended <- struct{}{}
+		}()
+	}
+	timeout := time.NewTimer(requestRefreshTimeout)
+	defer timeout.Stop()
+	for waiting := len(calls); waiting > 0 && !w.isRecent(); waiting-- {
+		select {
+		case <-ended:
+		case <-timeout.C:
+			waiting = 0
+		}
+	}
+	if w.isRecent() {
+		return
+	}
+	age, _ := w.active.Age()
+	w.opts.Log.Event("config_not_recent", "version", w.version(), "ageMs", age.Milliseconds())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.noRefreshBefore = time.Now().Add(requestRefreshDelay)
+}
+
 // askPeers asks the next few entries that have no call in progress, in turn.
 func (w *configWatch) askPeers(ctx context.Context, wg *sync.WaitGroup) {
 	peers := w.peers()
@@ -175,9 +251,14 @@
 	}
 }
 
-func (w *configWatch) has(version uint64) bool {
-	c := w.active.Current()
-	return c != nil && c.Version >= version
+func (w *configWatch) has(version uint64) bool { return w.version() >= version }
+
+// version returns the version in force, or 0 if there is none.
+func (w *configWatch) version() uint64 {
+	if c := w.active.Current(); c != nil {
+		return c.Version
+	}
+	return 0
 }
 
 // refresh sends a further call to the store unless enough are in progress.
--- a/internal/workflowdaemon/entry.go
+++ b/internal/workflowdaemon/entry.go
@@ -184,6 +184,11 @@
 	return nil
 }
 
+// RefreshConfig reports whether the configuration in force is recent enough to serve a
+// request by it: it includes every version that the operator stored more than MaxConfigAge
+// ago. If that is not known, it first asks the store and other entries, for 0.25 s at most.
+func (e *Entry) RefreshConfig() bool { return e.config.refreshForRequest() }
+
 // Leaving reports whether the entry is shutting down.
 func (e *Entry) Leaving() bool {
 	e.mu.Lock()
--- a/internal/workflowdaemon/sim_config_test.go
+++ b/internal/workflowdaemon/sim_config_test.go
@@ -489,3 +489,38 @@
 		}
 	}
 }
+
+// Guards against requests that are served by an old configuration right after a pause: an
+// entry that was frozen answered by the version from before, until its own call was answered.
+// It has to know of the newer version, or to say that it does not know.
+func TestRequestAfterPauseUsesRecentConfiguration(t *testing.T) {
+	for name, storeAnswers := range map[string]bool{"the store answers": true, "only peers answer": false} {
+		t.Run(name, func(t *testing.T) {
+			runConfigSim(t, 3, func(s *configSim) {
+				freeze := func(frozen bool) {
+					s.paths["entry0"].set(false, frozen)
+					s.setUnreachable("entry0", frozen)
+				}
+				freeze(true)
+				time.Sleep(simApplyLimit)
+				version := s.change()
+				time.Sleep(simApplyLimit)
+				if s.entries["entry0"].RefreshConfig() {
+					t.Errorf("the configuration counts as recent %v after the entry lost all ways to a newer one", 2*simApplyLimit)
+				}
+				time.Sleep(requestRefreshDelay)
+				freeze(false)
+				s.paths["entry0"].set(false, !storeAnswers)
+				began := time.Now()
+				recent, got := s.entries["entry0"].RefreshConfig(), s.versionAt("entry0")
+				if !recent || got != version {
+					t.Errorf("recent %v, version %d is in force, want %d", recent, got, version)
+				}
+				if took := time.Since(began); took > requestRefreshTimeout {
+					t.Errorf("the request waited for %v", took)
+				}
+				s.paths["entry0"].set(false, false)
+			})
+		})
+	}
+}
