Send a late read of the store the next way beside the late attempt

The same cause as that of the late configuration, in the reads of the rows of jobs: a read waited up to 2 s for one process before it was sent to the next one, and 3 s in all. While another way worked, an owner's copy of the rows became up to 6 s old, above the 2.5 s at which it stops to decide and an entry reports that it is not ready.

A read is now sent the next way as soon as an attempt has failed, or is later than the 0.45 s in which even a slow store answers, beside the first attempt; the first answer counts. The further attempts do not wait for changes, so they also tell at once that there are none. The check whether the own connection works again does not wait for changes either. Writes still go one way after the other, so that the outcome of each attempt is known.

TestRowsStayRecentPastSilentProcess failed in five of seven situations (rows up to 6.0 s old) and passes now.

--- a/internal/rowstore/failover.go
+++ b/internal/rowstore/failover.go
@@ -1,6 +1,7 @@
 package rowstore
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -27,6 +28,8 @@
 	// Wait is how long the store may hold the request before it answers, in addition
 	// to its normal latency.
 	Wait time.Duration
+	// PathNoWait is the path of the same read without Wait; empty if there is no Wait.
+	PathNoWait string
 }
 
 // Answer is the store's response to a Call.
@@ -54,6 +57,9 @@
 	// maxPeersPerCall limits the peers tried for one call, and so the load that
 	// retries cause in an outage.
 	maxPeersPerCall = 2
+	// lateReadDelay is the time beyond Wait after which an attempt of a read counts as late, and
+	// the next one begins beside it. A store that is 80 times as slow as usual answers within it.
+	lateReadDelay = 450 * time.Millisecond
 	// slowReadTime is the time beyond Wait from which a read is logged as slow.
 	slowReadTime = 250 * time.Millisecond
 )
@@ -65,8 +71,9 @@
 }
 
 // Failover sends calls to the store directly, and through peers while the store
-// refuses calls of this process. Writes are repeated too, which is safe: see Txn. It
-// is safe for concurrent use.
+// refuses calls of this process. A read that is late is also sent the next way, beside the
+// attempt that is late. Writes are repeated too, which is safe: see Txn. It is safe for
+// concurrent use.
 type Failover struct {
 	// Direct sends a call to the store.
 	Direct CallFunc
@@ -98,12 +105,11 @@
 // Do sends a call directly or through peers. The code of the error is
 // platform_unavailable.
 func (f *Failover) Do(ctx context.Context, c Call) (Answer, error) {
-	f.mu.Lock()
-	now := time.Now()
 	if isProbe(ctx) {
-		f.mu.Unlock()
 		return f.probe(ctx, c)
 	}
+	f.mu.Lock()
+	now := time.Now()
 	if wait := f.failFastUntil[c.Scope].Sub(now); wait > 0 {
 		f.mu.Unlock()
 		return Answer{}, Unavailable(verdict.NotRun, "the store is out of reach").WithRetryAfter(wait)
@@ -117,61 +123,176 @@
 	if check {
 		go f.checkDirect(context.WithoutCancel(ctx), c)
 	}
+	if c.Write {
+		return f.write(ctx, c, viaPeers)
+	}
+	return f.read(ctx, c, viaPeers)
+}
+
+// write sends a write by one way after the other. Each attempt ends before the next one
+// begins, so that its outcome is known.
+func (f *Failover) write(ctx context.Context, c Call, viaPeers bool) (Answer, error) {
 	outcome := verdict.NotRun
 	var lastErr error
-	attempts := attemptLog{began: now}
-	defer func() {
-		if took := time.Since(now); !c.Write && took > c.Wait+slowReadTime {
-			f.Log.Event("store_read_slow", "path", c.Path, "scope", c.Scope, "waitMs", c.Wait.Milliseconds(), "tookMs", took.Milliseconds(), "attempts", attempts.String())
-		}
-	}()
-	try := func(via string, call CallFunc) (Answer, bool) {
-		attempt, cancel := context.WithTimeout(ctx, attemptTimeout+c.Wait)
-		defer cancel()
-		attemptBegan := time.Now()
-		a, err := call(attempt, c)
-		attempts.add(via, attemptBegan, a, err)
-		if err == nil && a.Status != http.StatusServiceUnavailable && a.Status != http.StatusTooManyRequests {
-			return a, true
-		}
+	for _, w := range f.ways(viaPeers) {
+		a, err := f.attempt(ctx, w, c)
 		if err == nil {
-			err = Unavailable(verdict.NotRun, "%s: status %d", c.Path, a.Status)
+			f.recordSuccess(w, c)
+			return a, nil
 		}
-		if c.Write && verdict.Of(err) != verdict.NotRun {
+		if verdict.Of(err) != verdict.NotRun {
 			outcome = verdict.MayHaveRun
 		}
 		lastErr = err
-		return a, false
-	}
-	if !viaPeers {
-		a, ok := try(viaDirect, f.Direct)
-		if ok {
-			f.recordDirectSuccess(c)
-			return a, nil
-		}
-		if ctx.Err() != nil || f.overloaded(c, a) {
+		if ctx.Err() != nil || w.direct && !viaPeers && f.overloaded(c, a) {
 			return Answer{}, callError(outcome, lastErr)
 		}
-		f.recordDirectFailure(lastErr)
-	}
-	if a, ok := f.tryPeers(ctx, try); ok {
-		return a, nil
+		if w.direct && !viaPeers {
+			f.recordDirectFailure(err)
+		}
 	}
-	if viaPeers && ctx.Err() == nil {
-		if a, ok := try(viaDirect, f.Direct); ok {
-			f.recordDirectSuccess(c)
-			return a, nil
+	f.recordOutage(c.Scope)
+	return Answer{}, callError(outcome, lastErr)
+}
+
+// read sends a read by one way, and by the next one as soon as that has failed or is late. The
+// attempts that are late go on: the first answer counts, whichever it is.
+func (f *Failover) read(ctx context.Context, c Call, viaPeers bool) (Answer, error) {
+	log := attemptLog{began: time.Now()}
+	defer func() {
+		if took := time.Since(log.began); took > c.Wait+slowReadTime {
+			f.Log.Event("store_read_slow", "path", c.Path, "scope", c.Scope, "waitMs", c.Wait.Milliseconds(), "tookMs", took.Milliseconds(), "attempts", log.String())
 		}
+	}()
+	type result struct {
+		way    way
+		began  time.Time
+		answer Answer
+		err    error
 	}
-	if ctx.Err() == nil {
-		f.mu.Lock()
-		if f.failFastUntil == nil {
-			f.failFastUntil = map[string]time.Time{}
+	ways := f.ways(viaPeers)
+	results := make(chan result, len(ways))
+	var lastErr error
+	for started, ended := 0, 0; ended < len(ways); {
+		if started < len(ways) {
+			w, began := ways[started], time.Now()
+			started++
+			call := c
+			if started > 1 && c.PathNoWait != "" {
+				call.Path, call.Wait = c.PathNoWait, 0
+			}
+			// The attempt ends by its own timeout: to cancel it would close its connection.
+			go func() {
+				a, err := f.attempt(context.WithoutCancel(ctx), w, call)
+				results <- result{w, began, a, err}
+			}()
+		}
+		late := make(<-chan time.Time)
+		if started < len(ways) {
+			wait := lateReadDelay
+			if started == 1 {
+				wait += c.Wait
+			}
+			late = time.After(wait)
+		}
+		select {
+		case r := <-results:
+			ended++
+			log.add(r.way.name, r.began, r.answer, r.err)
+			if r.err == nil {
+				f.recordSuccess(r.way, c)
+				if !viaPeers && !r.way.direct && ended < started {
+					f.recordDirectFailure(errLate)
+				}
+				return r.answer, nil
+			}
+			lastErr = r.err
+			if r.way.direct && !viaPeers {
+				f.recordDirectFailure(r.err)
+			}
+			if ended < started {
+				continue // a later way is under way already
+			}
+		case <-late:
+			log.add(ways[started-1].name, log.began, Answer{}, errLate)
+		case <-ctx.Done():
+			return Answer{}, callError(verdict.NotRun, cmp.Or(lastErr, ctx.Err()))
 		}
-		f.failFastUntil[c.Scope] = time.Now().Add(retry.Jitter(2 * outageRetryDelay))
-		f.mu.Unlock()
 	}
-	return Answer{}, callError(outcome, lastErr)
+	f.recordOutage(c.Scope)
+	return Answer{}, callError(verdict.NotRun, lastErr)
+}
+
+// errLate is the error of a direct read that was overtaken by one through a peer.
+var errLate = errors.New("the answer is late")
+
+// way is a way to the store: direct, or through a peer.
+type way struct {
+	name   string
+	call   CallFunc
+	direct bool
+	// peer is the index of the peer.
+	peer int
+}
+
+// ways returns the ways for a call in the order in which they are tried: the direct one
+// first, or last if viaPeers, and up to maxPeersPerCall peers, beginning with nextPeer.
+func (f *Failover) ways(viaPeers bool) []way {
+	peers := f.Peers()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	direct := way{name: viaDirect, call: f.Direct, direct: true}
+	var out []way
+	if !viaPeers {
+		out = append(out, direct)
+	}
+	for i := range min(maxPeersPerCall, len(peers)) {
+		index := (f.nextPeer + i) % len(peers)
+		out = append(out, way{name: peers[index].Name, call: peers[index].Call, peer: index})
+	}
+	if viaPeers {
+		out = append(out, direct)
+	}
+	return out
+}
+
+// attempt sends a call by one way. An answer that the store refuses the call is an error.
+func (f *Failover) attempt(ctx context.Context, w way, c Call) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout+c.Wait)
+	defer cancel()
+	a, err := w.call(ctx, c)
+	if err == nil && a.refused() {
+		err = Unavailable(verdict.NotRun, "%s: status %d", c.Path, a.Status)
+	}
+	return a, err
+}
+
+// refused reports whether the store has refused the call for now.
+func (a Answer) refused() bool {
+	return a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests
+}
+
+// recordSuccess makes the next calls go the way that has worked.
+func (f *Failover) recordSuccess(w way, c Call) {
+	if w.direct {
+		f.recordDirectSuccess(c)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nextPeer = w.peer
+}
+
+// recordOutage makes the calls of a scope fail immediately for a while after one has failed
+// in all ways. The next call begins with other peers.
+func (f *Failover) recordOutage(scope string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nextPeer += maxPeersPerCall
+	if f.failFastUntil == nil {
+		f.failFastUntil = map[string]time.Time{}
+	}
+	f.failFastUntil[scope] = time.Now().Add(retry.Jitter(2 * outageRetryDelay))
 }
 
 // viaDirect is the name of direct attempts in the log; others have the name of a peer.
@@ -212,7 +333,7 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	if a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests {
+	if a.refused() {
 		return Answer{}, Unavailable(verdict.NotRun, "%s: status %d", c.Path, a.Status)
 	}
 	f.recordDirectSuccess(c)
@@ -229,34 +350,6 @@
 	return Unavailable(v, "%v", err)
 }
 
-// tryPeers tries up to maxPeersPerCall peers, beginning with nextPeer, and reports
-// whether one of them answered.
-func (f *Failover) tryPeers(ctx context.Context, try func(via string, call CallFunc) (Answer, bool)) (Answer, bool) {
-	peers := f.Peers()
-	if len(peers) == 0 {
-		return Answer{}, false
-	}
-	f.mu.Lock()
-	first := f.nextPeer
-	f.mu.Unlock()
-	for i := range min(maxPeersPerCall, len(peers)) {
-		if ctx.Err() != nil {
-			break
-		}
-		index := (first + i) % len(peers)
-		if a, ok := try(peers[index].Name, peers[index].Call); ok {
-			f.mu.Lock()
-			f.nextPeer = index
-			f.mu.Unlock()
-			return a, true
-		}
-	}
-	f.mu.Lock()
-	f.nextPeer = first + maxPeersPerCall
-	f.mu.Unlock()
-	return Answer{}, false
-}
-
 // recordDirectSuccess makes calls go directly again.
 func (f *Failover) recordDirectSuccess(c Call) {
 	f.mu.Lock()
@@ -275,10 +368,13 @@
 // checkDirect sends a read directly while the call itself goes through a peer, so that a
 // store that does not answer this process delays no call.
 func (f *Failover) checkDirect(ctx context.Context, c Call) {
+	if c.PathNoWait != "" {
+		c.Path, c.Wait = c.PathNoWait, 0
+	}
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout+c.Wait)
 	defer cancel()
 	a, err := f.Direct(ctx, c)
-	if err == nil && a.Status != http.StatusServiceUnavailable && a.Status != http.StatusTooManyRequests {
+	if err == nil && !a.refused() {
 		f.recordDirectSuccess(c)
 		return
 	}
--- a/internal/workflowdaemon/sim_config_test.go
+++ b/internal/workflowdaemon/sim_config_test.go
@@ -153,37 +153,41 @@
 	return c.Version
 }
 
+// silentProcesses are situations of three entries in which the first one has a way to the
+// store, its own or through a peer, beside processes that do not answer.
+var silentProcesses = map[string]func(s *configSim){
+	"the store is silent": func(s *configSim) { s.paths["entry0"].set(false, true) },
+	"the store refuses, one peer is frozen": func(s *configSim) {
+		s.paths["entry0"].set(true, false)
+		s.setUnreachable("entry1", true)
+	},
+	"the store is silent, one peer is frozen": func(s *configSim) {
+		s.paths["entry0"].set(false, true)
+		s.setUnreachable("entry1", true)
+	},
+	"the store is silent here and at one peer": func(s *configSim) {
+		s.paths["entry0"].set(false, true)
+		s.paths["entry1"].set(false, true)
+	},
+	"the store refuses here and is silent at one peer": func(s *configSim) {
+		s.paths["entry0"].set(true, false)
+		s.paths["entry1"].set(false, true)
+	},
+	"open connections to the store are dead": func(s *configSim) { s.paths["entry0"].dropConnections() },
+	// The reads go through the peers when the store answers again and both of them freeze.
+	"the store answers again, the peers are frozen": func(s *configSim) {
+		s.paths["entry0"].set(true, false)
+		time.Sleep(configContact)
+		s.paths["entry0"].set(false, false)
+		s.setUnreachable("entry1", true)
+		s.setUnreachable("entry2", true)
+	},
+}
+
 // Guards against a configuration that is confirmed and not in force 2 s later at an entry
 // that can learn of it, because the entry waits for a process that does not answer.
 func TestConfigurationArrivesPastSilentProcess(t *testing.T) {
-	for name, prepare := range map[string]func(s *configSim){
-		"the store is silent": func(s *configSim) { s.paths["entry0"].set(false, true) },
-		"the store refuses, one peer is frozen": func(s *configSim) {
-			s.paths["entry0"].set(true, false)
-			s.setUnreachable("entry1", true)
-		},
-		"the store is silent, one peer is frozen": func(s *configSim) {
-			s.paths["entry0"].set(false, true)
-			s.setUnreachable("entry1", true)
-		},
-		"the store is silent here and at one peer": func(s *configSim) {
-			s.paths["entry0"].set(false, true)
-			s.paths["entry1"].set(false, true)
-		},
-		"the store refuses here and is silent at one peer": func(s *configSim) {
-			s.paths["entry0"].set(true, false)
-			s.paths["entry1"].set(false, true)
-		},
-		"open connections to the store are dead": func(s *configSim) { s.paths["entry0"].dropConnections() },
-		// The reads go through the peers when the store answers again and both of them freeze.
-		"the store answers again, the peers are frozen": func(s *configSim) {
-			s.paths["entry0"].set(true, false)
-			time.Sleep(configContact)
-			s.paths["entry0"].set(false, false)
-			s.setUnreachable("entry1", true)
-			s.setUnreachable("entry2", true)
-		},
-	} {
+	for name, prepare := range silentProcesses {
 		t.Run(name, func(t *testing.T) {
 			// The fault begins at different moments of the reads, which begin every 0.8 s.
 			for offset := time.Duration(0); offset < time.Second; offset += 110 * time.Millisecond {
@@ -203,6 +207,31 @@
 	}
 }
 
+// Guards against an owner that makes no decisions, and an entry that reports itself as not
+// ready, because its reads of the rows wait for a process that does not answer although
+// another way to the store works.
+func TestRowsStayRecentPastSilentProcess(t *testing.T) {
+	for name, prepare := range silentProcesses {
+		t.Run(name, func(t *testing.T) {
+			for offset := time.Duration(0); offset < time.Second; offset += 110 * time.Millisecond {
+				runConfigSim(t, 3, func(s *configSim) {
+					time.Sleep(offset)
+					prepare(s)
+					var oldest time.Duration
+					for range 600 {
+						time.Sleep(10 * time.Millisecond)
+						age, _ := s.entries["entry0"].tableMirror.Age()
+						oldest = max(oldest, age)
+					}
+					if oldest > maxRowsAge {
+						t.Errorf("fault at %v: the rows were up to %v old, want at most %v", offset, oldest, maxRowsAge)
+					}
+				})
+			}
+		})
+	}
+}
+
 // Guards against an entry that serves by a withdrawn configuration after a restart, because
 // the store does not answer it and it takes what a peer has that lost the store earlier.
 func TestRestartedEntryServesNoOldConfiguration(t *testing.T) {
--- a/internal/workflowdaemon/sim_store_test.go
+++ b/internal/workflowdaemon/sim_store_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
 	"encoding/gob"
 	"errors"
 	"net/http"
@@ -28,7 +29,8 @@
 	stuckBefore time.Time
 }
 
-// storeRequest and storeResponse are the bodies of calls to a stub table.
+// storeRequest is a call to a stub table, which is sent as the path, and storeResponse the
+// body of its answer.
 type storeRequest struct {
 	Method           string // Commit, List, Get or Feed
 	Txn              rowstore.Txn
@@ -47,6 +49,8 @@
 	HistoryGone bool
 }
 
+func (r storeRequest) path() string { return base64.StdEncoding.EncodeToString(encodeGob(r)) }
+
 func encodeGob(v any) []byte {
 	var b bytes.Buffer
 	if err := gob.NewEncoder(&b).Encode(v); err != nil {
@@ -99,8 +103,13 @@
 		return rowstore.Answer{Status: http.StatusTooManyRequests}, nil
 	}
 	var req storeRequest
-	decodeGob(c.Body, &req)
-	resp, err := p.serve(ctx, req)
+	encoded, err := base64.StdEncoding.DecodeString(c.Path)
+	if err != nil {
+		panic(err)
+	}
+	decodeGob(encoded, &req)
+	var resp storeResponse
+	resp, err = p.serve(ctx, req)
 	p.mu.Lock()
 	silent = p.silent || began.Before(p.stuckBefore)
 	p.mu.Unlock()
@@ -136,7 +145,9 @@
 func newCallStore(do rowstore.CallFunc) rowstore.Store { return callStore{do} }
 
 func (s callStore) send(ctx context.Context, req storeRequest) (resp storeResponse, err error) {
-	a, err := s.do(ctx, rowstore.Call{Path: "/" + req.Method + "?table=" + req.Table, Body: encodeGob(req), Write: req.Method == "Commit", Scope: req.Method, Wait: req.Wait})
+	noWait := req
+	noWait.Wait = 0
+	a, err := s.do(ctx, rowstore.Call{Path: req.path(), PathNoWait: noWait.path(), Write: req.Method == "Commit", Scope: req.Method, Wait: req.Wait})
 	if err != nil {
 		return resp, err
 	}
