Tell entries that know no other one where the owner is

A restarted entry that the store refuses, and whose settings name no other entry, learned neither of the configuration nor of the rows until the refusal was over, and stayed not ready, although the owner called it every second.

The owner's regular call now carries its address and the version of the configuration. An entry that knows no other one uses the address for both, and any entry that lacks the version asks for it, so that lost announcements are made up for within a second as well.

TestRestartedEntryIsFoundByOwner failed before: no version in force and not ready 2 s after the restart.

--- a/internal/workflowdaemon/entry.go
+++ b/internal/workflowdaemon/entry.go
@@ -203,6 +203,19 @@
 	e.seeds = seeds
 }
 
+// addSeed adds the address of an entry that has called this one, if it is the only one that
+// is known: the settings may name none, and the table cannot be read without another entry
+// while the store refuses this process.
+func (e *Entry) addSeed(addr string) {
+	if len(e.peerAddrsOrSeeds()) > 0 {
+		return
+	}
+	e.opts.Log.Event("entry_found", "addr", addr)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seeds = []string{addr}
+}
+
 // feedDelay returns the pause after a feed response with changes. Entries that are
 // not the owner read changes in batches: otherwise each write of the owner would
 // cost a call of every entry.
--- a/internal/workflowdaemon/membership.go
+++ b/internal/workflowdaemon/membership.go
@@ -135,7 +135,9 @@
 	defer cancel()
 	// This only checks that the entry answers. It asks for no promise: epoch 0 is
 	// below the epoch of any owner.
-	err := e.opts.Caller.Call(callCtx, addr, workflowrpc.MethodConfirm, &workflowrpc.ConfirmArgs{}, &workflowrpc.ConfirmReply{})
+	// It also tells a restarted entry that the store refuses where to find another entry.
+	args := &workflowrpc.ConfirmArgs{Addr: e.opts.RPCAddr, ConfigVersion: e.config.version()}
+	err := e.opts.Caller.Call(callCtx, addr, workflowrpc.MethodConfirm, args, &workflowrpc.ConfirmReply{})
 	e.mu.Lock()
 	c := e.peerContacts[id]
 	if c.firstAsked.IsZero() {
--- a/internal/workflowdaemon/peer.go
+++ b/internal/workflowdaemon/peer.go
@@ -63,7 +63,7 @@
 	for _, addr := range peers {
 		wg.Go(func() {
 			reply := &workflowrpc.ConfirmReply{}
-			args := &workflowrpc.ConfirmArgs{Epoch: epoch, After: e.syncedVersion(addr)}
+			args := &workflowrpc.ConfirmArgs{Epoch: epoch, After: e.syncedVersion(addr), Addr: e.opts.RPCAddr, ConfigVersion: e.config.version()}
 			err := e.opts.Caller.Call(ctx, addr, workflowrpc.MethodConfirm, args, reply)
 			switch {
 			case err != nil:
@@ -148,6 +148,10 @@
 // returns the rows that the caller lacks. It refuses while the store responds to
 // this entry: an owner that alone has lost the store has to be replaced.
 func (s *peerService) Confirm(args *workflowrpc.ConfirmArgs, reply *workflowrpc.ConfirmReply) error {
+	if args.Addr != "" {
+		s.entry.addSeed(args.Addr)
+		go s.entry.config.versionAnnounced(args.ConfigVersion, args.Addr)
+	}
 	reply.Promised = s.entry.elector.PromiseNotToTakeOver(args.Epoch)
 	if reply.Promised {
 		reply.Rows, reply.More = s.entry.tableMirror.After(args.After, maxConfirmRows)
--- a/internal/workflowdaemon/sim_config_test.go
+++ b/internal/workflowdaemon/sim_config_test.go
@@ -38,6 +38,8 @@
 	log     *eventlog.Log
 	started time.Time
 	ids     []string
+	// noSeeds starts entries without the addresses of others.
+	noSeeds bool
 
 	mu      sync.Mutex
 	paths   map[string]*storePath
@@ -96,9 +98,13 @@
 		s.paths[id] = path
 	}
 	s.mu.Unlock()
+	var seeds []string
+	if !s.noSeeds {
+		seeds = slices.DeleteFunc(slices.Clone(s.ids), func(other string) bool { return other == id })
+	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	e := NewEntry(EntryOptions{
-		ID: id, RPCAddr: id, Seeds: slices.DeleteFunc(slices.Clone(s.ids), func(other string) bool { return other == id }), Log: s.log, Caller: simCaller{s.net, id}, OperatorTable: "op", ConfigKey: "config",
+		ID: id, RPCAddr: id, Seeds: seeds, Log: s.log, Caller: simCaller{s.net, id}, OperatorTable: "op", ConfigKey: "config",
 		DecodeConfig: decodeTestConfig, MaxConfigAge: simApplyLimit, StoreCall: path.call, NewStore: newCallStore,
 		Clock:       func() time.Duration { return time.Since(s.started) },
 		ProcessGone: func(context.Context, string) bool { return false },
@@ -553,3 +559,25 @@
 		})
 	}
 }
+
+// Guards against an entry that stays without a configuration after a restart although other
+// entries know it: the store refuses it, and its settings name no other entry.
+func TestRestartedEntryIsFoundByOwner(t *testing.T) {
+	runConfigSim(t, 3, func(s *configSim) {
+		id := "entry0"
+		if s.entries[id].currentOwner() != nil {
+			id = "entry1"
+		}
+		s.kill(id)
+		s.paths[id].set(true, false)
+		s.noSeeds = true
+		s.start(id)
+		time.Sleep(2 * rowCheckInterval)
+		if got := s.versionAt(id); got != s.version {
+			t.Errorf("%v after a restart, version %d is in force, want %d", 2*rowCheckInterval, got, s.version)
+		}
+		if err := s.entries[id].Ready(); err != nil {
+			t.Errorf("%v after a restart, the entry is not ready: %v", 2*rowCheckInterval, err)
+		}
+	})
+}
--- a/internal/workflowrpc/workflowrpc.go
+++ b/internal/workflowrpc/workflowrpc.go
@@ -190,6 +190,10 @@
 	// After is a version of the store. The owner has all rows up to this version
 	// that the entry has.
 	After uint64
+	// Addr is the owner's RPC address, and ConfigVersion the version of the configuration
+	// in force there.
+	Addr          string
+	ConfigVersion uint64
 }
 
 // ConfirmReply returns whether the entry has promised.
