Refuse questions by a configuration that is known to have been replaced

Questions about jobs are answered while the store answers nobody, by the configuration in force and however old it is.

The age alone does not tell an outage of the store from a version that is missing here. The highest version that another entry has named does.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -103,6 +103,18 @@
 	confirmedAt atomic.Int64
 }
 
+// Currency says whether the configuration in force may be used for a request.
+type Currency int
+
+// Values of Currency. Recent includes every version that the operator stored before the time
+// after which it must be in force. Unconfirmed means that this is not known, as while the
+// store answers nobody, and Replaced that a newer version is known not to have arrived.
+const (
+	Unconfirmed Currency = iota
+	Recent
+	Replaced
+)
+
 // Confirm records that the configuration in force, or a newer one that the caller has
 // passed to SetIfNewer, was the operator's newest at a time on Clock.
 func (h *ActiveConfig) Confirm(at time.Duration) {
--- a/internal/workflowdaemon/config.go
+++ b/internal/workflowdaemon/config.go
@@ -76,6 +76,8 @@
 	// the last one began.
 	largeDocuments  int
 	largeDocumentAt time.Time
+	// newest is the highest version that another entry has named.
+	newest uint64
 	// noRefreshBefore is when a request may wait for a refresh again.
 	noRefreshBefore time.Time
 }
@@ -104,6 +106,27 @@
 	wg.Wait()
 }
 
+// currency returns whether the configuration in force may be used for a request.
+func (w *configWatch) currency() gateway.Currency {
+	w.mu.Lock()
+	newest := w.newest
+	w.mu.Unlock()
+	switch {
+	case w.isRecent():
+		return gateway.Recent
+	case !w.has(newest):
+		return gateway.Replaced
+	}
+	return gateway.Unconfirmed
+}
+
+// noteVersion records that a version is in force at another entry.
+func (w *configWatch) noteVersion(version uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.newest = max(w.newest, version)
+}
+
 // isRecent reports whether the configuration in force includes every version that the
 // operator stored more than MaxConfigAge ago.
 func (w *configWatch) isRecent() bool {
@@ -112,24 +135,23 @@
 }
 
 // refreshForRequest asks the store and other entries for newer versions if the configuration
-// is not known to be recent, as after a pause of this process. It reports whether it is known
-// to be recent then.
-func (w *configWatch) refreshForRequest() bool {
+// is not known to be recent, as after a pause of this process. It returns what is known then.
+func (w *configWatch) refreshForRequest() gateway.Currency {
 	if w.isRecent() {
-		return true
+		return gateway.Recent
 	}
 	w.mu.Lock()
 	wait := !time.Now().Before(w.noRefreshBefore)
 	w.mu.Unlock()
 	if !wait {
-		return false
+		return w.currency()
 	}
 	// The function returns no error.
 	_, _, _ = w.requests.Do("", func() (any, error) {
 		w.refreshUntilRecent()
 		return nil, nil
 	})
-	return w.isRecent()
+	return w.currency()
 }
 
 // refreshUntilRecent asks the store and several entries at once, and waits until one of them
@@ -161,9 +183,9 @@
 		return
 	}
 	age, _ := w.active.Age()
-	w.opts.Log.Event("config_not_recent", "version", w.version(), "ageMs", age.Milliseconds())
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.opts.Log.Event("config_not_recent", "version", w.version(), "newest", w.newest, "ageMs", age.Milliseconds())
 	w.noRefreshBefore = time.Now().Add(requestRefreshDelay)
 }
 
@@ -225,6 +247,7 @@
 	if w.opts.Caller.Call(ctx, addr, workflowrpc.MethodConfig, args, reply) != nil || reply.Version == 0 {
 		return nil
 	}
+	w.noteVersion(reply.Version)
 	at := began - reply.Age
 	// An older configuration may have been replaced, and would bring back withdrawn keys. An
 	// entry that has one takes any newer one.
@@ -277,6 +300,7 @@
 // versionAnnounced asks the entry that has announced a version for it, if the store does not
 // deliver it first.
 func (w *configWatch) versionAnnounced(version uint64, addr string) {
+	w.noteVersion(version)
 	if w.has(version) {
 		return
 	}
--- a/internal/workflowdaemon/entry.go
+++ b/internal/workflowdaemon/entry.go
@@ -184,10 +184,10 @@
 	return nil
 }
 
-// RefreshConfig reports whether the configuration in force is recent enough to serve a
-// request by it: it includes every version that the operator stored more than MaxConfigAge
-// ago. If that is not known, it first asks the store and other entries, for 0.25 s at most.
-func (e *Entry) RefreshConfig() bool { return e.config.refreshForRequest() }
+// RefreshConfig returns whether the configuration in force may be used for a request. If it
+// is not known to include every version that the operator stored more than MaxConfigAge ago,
+// it first asks the store and other entries, for 0.25 s at most.
+func (e *Entry) RefreshConfig() gateway.Currency { return e.config.refreshForRequest() }
 
 // Leaving reports whether the entry is shutting down.
 func (e *Entry) Leaving() bool {
--- a/internal/workflowdaemon/sim_config_test.go
+++ b/internal/workflowdaemon/sim_config_test.go
@@ -542,16 +542,16 @@
 				time.Sleep(simApplyLimit)
 				version := s.change()
 				time.Sleep(simApplyLimit)
-				if s.entries["entry0"].RefreshConfig() {
+				if got := s.entries["entry0"].RefreshConfig(); got == gateway.Recent {
 					t.Errorf("the configuration counts as recent %v after the entry lost all ways to a newer one", 2*simApplyLimit)
 				}
 				time.Sleep(requestRefreshDelay)
 				freeze(false)
 				s.paths["entry0"].set(false, !storeAnswers)
 				began := time.Now()
-				recent, got := s.entries["entry0"].RefreshConfig(), s.versionAt("entry0")
-				if !recent || got != version {
-					t.Errorf("recent %v, version %d is in force, want %d", recent, got, version)
+				currency, got := s.entries["entry0"].RefreshConfig(), s.versionAt("entry0")
+				if currency != gateway.Recent || got != version {
+					t.Errorf("currency %v, version %d is in force, want %d", currency, got, version)
 				}
 				if took := time.Since(began); took > requestRefreshTimeout {
 					t.Errorf("the request waited for %v", took)
@@ -627,3 +627,29 @@
 		})
 	}
 }
+
+// Guards against an entry that answers questions by a configuration which it knows to have
+// been replaced, because the document does not arrive.
+func TestKnownNewerVersionEndsUseOfOldOne(t *testing.T) {
+	runConfigSim(t, 3, func(s *configSim) {
+		link := &simLink{bytesPerSecond: 100}
+		s.net.mu.Lock()
+		s.net.links = map[string]*simLink{"entry0": link}
+		s.net.mu.Unlock()
+		s.documentSize = 400_000
+		s.paths["entry0"].set(false, true)
+		s.change()
+		time.Sleep(2 * simApplyLimit)
+		if got := s.entries["entry0"].RefreshConfig(); got != gateway.Replaced {
+			t.Errorf("currency %v, want %v", got, gateway.Replaced)
+		}
+		s.net.mu.Lock()
+		delete(s.net.links, "entry0")
+		s.net.mu.Unlock()
+		s.paths["entry0"].set(false, false)
+		time.Sleep(simApplyLimit)
+		if got := s.entries["entry0"].RefreshConfig(); got != gateway.Recent {
+			t.Errorf("currency %v with a working store, want %v", got, gateway.Recent)
+		}
+	})
+}
