--- a/internal/workflowdaemon/config.go
+++ b/internal/workflowdaemon/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -12,7 +11,6 @@
 	"github.com/parsleypier/parsleypier/internal/panicguard"
 	"github.com/parsleypier/parsleypier/internal/retry"
 	"github.com/parsleypier/parsleypier/internal/rowstore"
-	"github.com/parsleypier/parsleypier/internal/workflowrpc"
 )
 
 // Times and limits of a configWatch.
@@ -51,10 +49,11 @@
 
 // configWatch keeps the configuration in force up to date. It follows the operator's table
 // with calls of its own to the store. As soon as one of them is overdue or has failed, it
-// asks other entries for theirs, several at a time, and sends further calls to the store. No
-// call waits for another one, so one process that does not answer delays nothing. Entries
-// also announce new versions to each other, which costs a short message where the store has
-// delivered the version, and saves the time until the next question where it has not.
+// asks other entries for their version, several at a time, and sends further calls to the
+// store. No call waits for another one, so one process that does not answer delays nothing.
+// Entries also announce new versions to each other, which costs a short message where the
+// store has delivered the version, and saves the time until the next question where it has
+// not. Only large documents are fetched from one entry at a time.
 type configWatch struct {
 	opts   EntryOptions
 	active *gateway.ActiveConfig
@@ -157,7 +156,8 @@
 // refreshUntilRecent asks the store and several entries at once, and waits until one of them
 // has answered that the configuration is recent, for at most requestRefreshTimeout.
 func (w *configWatch) refreshUntilRecent() {
-	// The calls end by their own timeouts: to cancel one would close its connection.
+	// The calls end by their own timeouts: to cancel one would close its connection. That none
+	// of them has helped is logged below.
 	ctx := context.Background()
 	calls := []func(){func() { _ = w.mirror.Refresh(ctx) }}
 	for _, addr := range nextPeers(w.peers(), w.opts.RPCAddr, maxPeersPerCheck) {
@@ -189,134 +189,7 @@
 	w.noRefreshBefore = time.Now().Add(requestRefreshDelay)
 }
 
-// askPeers asks the next few entries that have no call in progress, in turn.
-func (w *configWatch) askPeers(ctx context.Context, wg *sync.WaitGroup) {
-	peers := w.peers()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for range min(maxPeersPerCheck, len(peers)) {
-		addr := peers[w.nextPeer%len(peers)]
-		w.nextPeer++
-		if w.asking[addr] {
-			continue
-		}
-		w.asking[addr] = true
-		wg.Go(func() {
-			w.askPeer(ctx, addr)
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			delete(w.asking, addr)
-		})
-	}
-}
-
-// askPeer asks an entry for its version, and for the document if that is newer and either
-// small or wanted here.
-func (w *configWatch) askPeer(ctx context.Context, addr string) {
-	reply := w.callPeer(ctx, addr, peerTimeout, false)
-	if reply == nil || w.has(reply.Version) || !w.beginLargeDocument() {
-		return
-	}
-	w.callPeer(ctx, addr, largeDocumentTimeout, true)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.largeDocuments--
-}
-
-// beginLargeDocument reports whether a large document should be fetched from another entry
-// now. Several at a time would delay each other on a slow link.
-func (w *configWatch) beginLargeDocument() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.largeDocuments == maxLargeDocuments || w.largeDocuments > 0 && time.Since(w.largeDocumentAt) < largeDocumentDelay {
-		return false
-	}
-	w.largeDocuments++
-	w.largeDocumentAt = time.Now()
-	return true
-}
-
-// callPeer asks an entry for its configuration and applies what it sends. If this entry then
-// has the peer's version or a newer one, it lacks none that was confirmed before the peer was
-// last up to date. callPeer returns nil if the peer has no answer; it is asked again in turn.
-func (w *configWatch) callPeer(ctx context.Context, addr string, timeout time.Duration, large bool) *workflowrpc.ConfigReply {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	began := w.opts.Clock()
-	args, reply := &workflowrpc.ConfigArgs{Version: w.version(), Large: large}, &workflowrpc.ConfigReply{}
-	if w.opts.Caller.Call(ctx, addr, workflowrpc.MethodConfig, args, reply) != nil || reply.Version == 0 {
-		return nil
-	}
-	w.noteVersion(reply.Version)
-	at := began - reply.Age
-	// An older configuration may have been replaced, and would bring back withdrawn keys. An
-	// entry that has one takes any newer one.
-	usable := args.Version > 0 || reply.Confirmed && w.opts.Clock()-at <= w.opts.MaxConfigAge
-	if len(reply.Document) > 0 && usable {
-		w.opts.Log.Event("config_from_peer", "peer", addr, "version", reply.Version, "ageMs", reply.Age.Milliseconds(), "confirmed", reply.Confirmed)
-		w.apply(reply.Document, addr)
-	}
-	if w.has(reply.Version) && reply.Confirmed {
-		w.active.Confirm(at)
-		w.mirror.SkipTo(reply.StoreVersion)
-	}
-	return reply
-}
-
-// announce tells some other entries of each new version. Every entry does, so most versions
-// reach an entry from several others.
-func (w *configWatch) announce(ctx context.Context) {
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	for {
-		select {
-		case <-w.inForce:
-		case <-ctx.Done():
-			return
-		}
-		args := &workflowrpc.ConfigChangedArgs{Version: w.active.Current().Version, Addr: w.opts.RPCAddr}
-		for _, addr := range nextPeers(w.peers(), w.opts.RPCAddr, configAnnouncePeers) {
-			wg.Go(func() {
-				ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-				defer cancel()
-				// An entry that misses this learns of the version by its other ways.
-				_ = w.opts.Caller.Call(ctx, addr, workflowrpc.MethodConfigChanged, &workflowrpc.ConfigChangedArgs{Version: args.Version, Addr: args.Addr}, &workflowrpc.ConfigChangedReply{})
-			})
-		}
-	}
-}
-
-// nextPeers returns up to n of the sorted peers, beginning with the first one after addr, so
-// that the entries together tell each one equally often.
-func nextPeers(peers []string, addr string, n int) []string {
-	first, _ := slices.BinarySearch(peers, addr)
-	out := make([]string, 0, n)
-	for i := range min(n, len(peers)) {
-		out = append(out, peers[(first+i)%len(peers)])
-	}
-	return out
-}
-
-// versionAnnounced asks the entry that has announced a version for it, if the store does not
-// deliver it first.
-func (w *configWatch) versionAnnounced(version uint64, addr string) {
-	w.noteVersion(version)
-	if w.has(version) {
-		return
-	}
-	ctx := context.Background()
-	if w.mirror.StoreResponding() {
-		time.Sleep(configAnnounceDelay)
-		if w.has(version) || w.callPeer(ctx, addr, peerTimeout, false) == nil || w.has(version) {
-			return
-		}
-		time.Sleep(largeDocumentDelay)
-	}
-	if !w.has(version) {
-		w.askPeer(ctx, addr)
-	}
-}
-
+// has reports whether a version, or a newer one, is in force.
 func (w *configWatch) has(version uint64) bool { return w.version() >= version }
 
 // version returns the version in force, or 0 if there is none.
