--- a/internal/rowstore/failover.go
+++ b/internal/rowstore/failover.go
@@ -77,8 +77,9 @@
 type Failover struct {
 	// Direct sends a call to the store.
 	Direct CallFunc
-	Peers  func() []Peer
-	Log    *eventlog.Log
+	// Peers returns the processes through which a call can be sent, in a stable order.
+	Peers func() []Peer
+	Log   *eventlog.Log
 
 	mu              sync.Mutex
 	nextDirectCheck time.Time            // while directRefused: when to try the direct connection again
@@ -210,9 +211,6 @@
 			if r.way.direct && !viaPeers {
 				f.recordDirectFailure(r.err)
 			}
-			if ended < started {
-				continue // a later way is under way already
-			}
 		case <-late:
 			log.add(ways[started-1].name, log.began, Answer{}, errLate)
 		case <-ctx.Done():
