--- a/internal/scheduler/guarantee/guarantee_test.go
+++ b/internal/scheduler/guarantee/guarantee_test.go
@@ -1,6 +1,7 @@
 package guarantee
 
 import (
+	"flag"
 	"fmt"
 	"strings"
 	"testing"
@@ -72,49 +73,74 @@
 // TestAdmittedGuaranteesPackWithinMargin guards against packings with overlapping or
 // malformed blocks, and against margins that the loss of some set of workers disproves.
 func TestAdmittedGuaranteesPackWithinMargin(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		sizes := rapid.SliceOfN(rapid.IntRange(1, 3), 1, 4).Draw(t, "racks")
-		var accounts []structs.Account
-		for _, name := range []string{"a", "b", "c"} {
-			accounts = append(accounts, testAccount(name, guaranteeOf(rapid.IntRange(1, 2).Draw(t, "count"), rapid.IntRange(1, 2).Draw(t, "workers"),
-				rapid.IntRange(1, 8).Draw(t, "accelerators"), rapid.SampledFrom([]structs.Adjacency{structs.AdjacentNone, structs.AdjacentWorker, structs.AdjacentRack, structs.AdjacentZone}).Draw(t, "adjacency"))))
-		}
-		m := &structs.Manifest{Hardware: rackHardware(sizes...), Accounts: accounts}
-		margin, err := Admit(m)
-		if err != nil {
-			return
-		}
-		p, _ := declaredProblem(m.Hardware, "d")
-		units := UnitsOf(accounts, "d")
-		blocks, res := p.Pack(units, admitSearchSteps)
-		if res != Packed {
-			t.Fatalf("guarantees are admitted but do not pack")
-		}
-		used := map[int]uint64{}
-		for i, b := range blocks {
-			seen := map[int]bool{}
-			for _, c := range b.Cells {
-				if used[c.Node]&c.Mask != 0 || seen[c.Node] {
-					t.Fatalf("block %d overlaps another: %+v", i, blocks)
-				}
-				seen[c.Node] = true
-				used[c.Node] |= c.Mask
-				if b.Shape.Adjacency == structs.AdjacentRack && p.Sites[c.Node].Rack != p.Sites[b.Cells[0].Node].Rack {
-					t.Fatalf("block %d spans racks: %+v", i, b)
+	rapid.Check(t, checkAdmittedGuaranteesPack)
+}
+
+// failedPackSeeds are seeds with which TestAdmittedGuaranteesPackWithinMargin has failed.
+var failedPackSeeds = []string{"5010921908756245867"}
+
+// TestAdmittedGuaranteesPackSeeds runs TestAdmittedGuaranteesPackWithinMargin with the seeds
+// in failedPackSeeds.
+func TestAdmittedGuaranteesPackSeeds(t *testing.T) {
+	const name = "rapid.seed"
+	before := flag.Lookup(name).Value.String()
+	for _, seed := range failedPackSeeds {
+		t.Run("seed-"+seed, func(t *testing.T) {
+			if err := flag.Set(name, seed); err != nil {
+				t.Fatal(err)
+			}
+			defer func() {
+				if err := flag.Set(name, before); err != nil {
+					t.Error(err)
 				}
+			}()
+			rapid.Check(t, checkAdmittedGuaranteesPack)
+		})
+	}
+}
+
+func checkAdmittedGuaranteesPack(t *rapid.T) {
+	sizes := rapid.SliceOfN(rapid.IntRange(1, 3), 1, 4).Draw(t, "racks")
+	var accounts []structs.Account
+	for _, name := range []string{"a", "b", "c"} {
+		accounts = append(accounts, testAccount(name, guaranteeOf(rapid.IntRange(1, 2).Draw(t, "count"), rapid.IntRange(1, 2).Draw(t, "workers"),
+			rapid.IntRange(1, 8).Draw(t, "accelerators"), rapid.SampledFrom([]structs.Adjacency{structs.AdjacentNone, structs.AdjacentWorker, structs.AdjacentRack, structs.AdjacentZone}).Draw(t, "adjacency"))))
+	}
+	m := &structs.Manifest{Hardware: rackHardware(sizes...), Accounts: accounts}
+	margin, err := Admit(m)
+	if err != nil {
+		return
+	}
+	p, _ := declaredProblem(m.Hardware, "d")
+	units := UnitsOf(accounts, "d")
+	blocks, res := p.Pack(units, admitSearchSteps)
+	if res != Packed {
+		t.Fatalf("guarantees are admitted but do not pack")
+	}
+	used := map[int]uint64{}
+	for i, b := range blocks {
+		seen := map[int]bool{}
+		for _, c := range b.Cells {
+			if used[c.Node]&c.Mask != 0 || seen[c.Node] {
+				t.Fatalf("block %d overlaps another: %+v", i, blocks)
 			}
-			if len(b.Cells) != b.Shape.Workers {
-				t.Fatalf("block %d has %d cells, want %d", i, len(b.Cells), b.Shape.Workers)
+			seen[c.Node] = true
+			used[c.Node] |= c.Mask
+			if b.Shape.Adjacency == structs.AdjacentRack && p.Sites[c.Node].Rack != p.Sites[b.Cells[0].Node].Rack {
+				t.Fatalf("block %d spans racks: %+v", i, b)
 			}
 		}
-		for range margin["d"] {
-			lost := rapid.IntRange(0, len(p.Sites)-1).Draw(t, "lost")
-			p.Sites[lost].Avail, p.Sites[lost].Slots = 0, 0
+		if len(b.Cells) != b.Shape.Workers {
+			t.Fatalf("block %d has %d cells, want %d", i, len(b.Cells), b.Shape.Workers)
 		}
-		if _, res := p.Pack(units, admitSearchSteps); res != Packed {
-			t.Fatalf("margin %v, but the guarantees do not pack after the loss", margin)
-		}
-	})
+	}
+	for range margin["d"] {
+		lost := rapid.IntRange(0, len(p.Sites)-1).Draw(t, "lost")
+		p.Sites[lost].Avail, p.Sites[lost].Slots = 0, 0
+	}
+	if _, res := p.Pack(units, admitSearchSteps); res != Packed {
+		t.Fatalf("margin %v, but the guarantees do not pack after the loss", margin)
+	}
 }
 
 // BenchmarkAdmit admits a manifest of the design size: a domain of 126 workers in 42
