review: case 1, LOST after store transactions of more than 100 entries

Cause: nextBatch limits jobs and workers apart from each other, so that a batch may have up to 151 entries; the store refuses it with 400 for good.

--- /dev/null
+++ b/review/standin/deployment.go
@@ -0,0 +1,354 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Ports, the same on all machines of a deployment.
+const (
+	frontPort   = 18521
+	readyPort   = 18523
+	storePort   = 18524
+	controlPort = 18526
+	appPort     = 18529
+	firstPort   = 18600
+)
+
+// Names in the configuration of a deployment.
+const (
+	backend    = "huvo11a"
+	zone       = "om-north-a"
+	Host       = "nony24.example"
+	Key        = "d4a3hwrr6x73d3zji9n7"
+	UrgentPath = "/pufi791/"
+	BatchPath  = "/pule252/"
+)
+
+// Program is what the run lines of the deploy file start, in the repository's root.
+var Program = []string{"target/parsleypierd", "hosted"}
+
+const config = `{"version":1,"routes":[
+{"name":"r-zzyyjsg","host":"nony24.example","pathPrefix":"/pufi791/","type":"non_idempotent","timeoutMs":3000,"latencySloMs":250,"priority":0,"backend":"huvo11a","maxAttempts":2,"stretch":1.5,"anonymous":false},
+{"name":"r-3ajwyy7","host":"nony24.example","pathPrefix":"/pule252/","type":"non_idempotent","timeoutMs":3000,"latencySloMs":3000,"priority":2,"backend":"huvo11a","maxAttempts":4,"stretch":3.0,"anonymous":false}],
+"services":[{"name":"huvo11a","healthPath":"/health","maxConns":64,"protocol":"h1","tls":false,"enforcesCapacity":true,"standby":false}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+"tenants":[{"name":"kaje80","apiKeys":["d4a3hwrr6x73d3zji9n7"],"priority":1,"guaranteed":{"gpu":16}}]}`
+
+const settings = `nodeName = %q
+role = %q
+machineClass = %q
+serves = [%q]
+ip = %q
+zone = "om-north-a"
+region = "om-north"
+portRange = [18600,18615]
+seeds = []
+bootstrap = true
+countsAsLoss = false
+discovery = "local"
+entry = "vip"
+heartbeatMs = 1500
+contracts = ["base","drain","config","cost","recover","sched","tenants","platform","advice","upkeep","sharing"]
+orders = "rpc"
+backend = "huvo11a"
+app = %q
+[zones]
+om-north-a = "om-north"
+[bindAddrs]
+%s
+[limits]
+cpuShare = 0.4
+cores = 1
+memoryMb = 284
+maxFds = 4100
+linkMbps = 1000.0
+[bounds]
+contactMs = 3000
+ackMs = 4000
+drainMs = 2000
+graceS = 6
+lossSlackMs = 200
+applyMs = 2000
+rollbackSlackMs = 250
+recoveryS = 12
+maxHoldMs = 10000
+killGraceMs = 900
+gangTimeoutMs = 3000
+cancel_ms = 3000
+visible_ms = 3000
+early_ms = 250
+finish_s = 14
+status_s = 120
+remotePenalty = 3
+checkpointS = 1
+restoreMs = 600
+reclaimMs = 3400
+[platform]
+address = %q
+form = "table"
+writesPerS = 800
+readsPerS = 2000
+txnTimeoutMs = 8.0
+partWritesS = 150
+rowBytes = 65536
+crossShard = false
+retentionS = 20
+`
+
+// Deployment is a small deployment of the system's programs on loopback addresses.
+type Deployment struct {
+	Record  *Record
+	Store   *Store
+	Workers []*Worker
+	Runs    *Runs
+
+	entries int
+	network int
+	dir     string
+	procs   map[string]*exec.Cmd
+	logs    []*os.File
+	server  *http.Server
+}
+
+// Start starts the store, the entries, and workers with their agents. taskOf says how tasks
+// behave. The caller must call Stop, also after an error.
+func Start(r *Record, entries, workers int, taskOf func(task string) Task) (*Deployment, error) {
+	d := &Deployment{Record: r, Runs: &Runs{}, entries: entries, procs: map[string]*exec.Cmd{}}
+	if _, err := os.Stat(Program[0]); err != nil {
+		return d, err
+	}
+	var err error
+	if d.dir, err = os.MkdirTemp("", "parsleypier-review"); err != nil {
+		return d, err
+	}
+	l, err := d.listenStore()
+	if err != nil {
+		return d, err
+	}
+	d.Store = NewStore(r)
+	d.Store.Put("op", "config", []byte(config))
+	d.server = &http.Server{Handler: d.Store.Handler(), ReadHeaderTimeout: time.Second}
+	go func() {
+		// Serve always returns an error once the server is closed.
+		_ = d.server.Serve(l)
+	}()
+	for i := range entries {
+		if err := d.StartProcess(entryName(i)); err != nil {
+			return d, err
+		}
+	}
+	for i := range workers {
+		if err := d.StartProcess(agentName(i)); err != nil {
+			return d, err
+		}
+		w := &Worker{
+			ID: fmt.Sprintf("i-%08x", 0x7f3a9100+i), Addr: d.addr(2, i, appPort), Control: d.addr(2, i, controlPort), Labels: []string{"a", fmt.Sprintf("r1-%d", i/3)},
+			Capacity: Resources{64000, 262144, 8}, TaskOf: taskOf, record: r, runs: d.Runs,
+		}
+		d.Workers = append(d.Workers, w)
+		if err := w.Boot(); err != nil {
+			return d, err
+		}
+	}
+	return d, d.waitReady()
+}
+
+// listenStore finds a network of loopback addresses that no other deployment uses.
+func (d *Deployment) listenStore() (net.Listener, error) {
+	for n := range 100 {
+		d.network = 40 + (os.Getpid()+n)%200
+		if l, err := net.Listen("tcp", d.addr(0, 0, storePort)); err == nil {
+			return l, nil
+		}
+	}
+	return nil, errors.New("no free loopback addresses")
+}
+
+func entryName(i int) string { return fmt.Sprintf("edge-om-north-a-%d", i) }
+func agentName(i int) string { return fmt.Sprintf("side-om-north-a-%d", i) }
+
+// addr returns an address of the i-th machine of a class: 0 the store, 1 the entries, 2 the
+// workers with their agents.
+func (d *Deployment) addr(class, i, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", d.network, class, i+1, port)
+}
+
+// StartProcess starts a process of the system.
+func (d *Deployment) StartProcess(name string) error {
+	var i int
+	class, role, serves, bind := 1, "entry", "edge", ""
+	if _, err := fmt.Sscanf(name, "edge-om-north-a-%d", &i); err == nil {
+		bind = fmt.Sprintf("front = %q\nreadiness = %q\n", d.addr(1, i, frontPort), d.addr(1, i, readyPort))
+	} else if _, err := fmt.Sscanf(name, "side-om-north-a-%d", &i); err == nil {
+		class, role, serves = 2, "agent", "side"
+		bind = fmt.Sprintf("control = %q\n", d.addr(2, i, controlPort))
+	}
+	ip, _, _ := strings.Cut(d.addr(class, i, 0), ":")
+	text := fmt.Sprintf(settings, name, role, serves, serves, ip, d.addr(2, i, appPort), bind, d.addr(0, 0, storePort))
+	file := filepath.Join(d.dir, name+".toml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(d.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	d.logs = append(d.logs, log)
+	cmd := exec.Command(Program[0], Program[1:]...)
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + d.dir, "PARSLEYPIER_CONFIG=" + file}
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	d.procs[name] = cmd
+	d.Record.Logf("process %s started", name)
+	return nil
+}
+
+// Kill sends SIGKILL to a process and waits for its end.
+func (d *Deployment) Kill(name string) error {
+	cmd := d.procs[name]
+	if cmd == nil {
+		return fmt.Errorf("process %s is not running", name)
+	}
+	delete(d.procs, name)
+	if err := cmd.Process.Signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	// Wait reports the signal as an error.
+	_ = cmd.Wait()
+	d.Record.Logf("process %s killed", name)
+	return nil
+}
+
+func (d *Deployment) waitReady() error {
+	for range 150 {
+		ready := 0
+		for i := range d.entries {
+			if resp, err := http.Get("http://" + d.addr(1, i, readyPort) + "/readiness"); err == nil {
+				resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					ready++
+				}
+			}
+		}
+		held := 0
+		for _, w := range d.Workers {
+			w.mu.Lock()
+			if w.holds > 0 && w.fence > 0 {
+				held++
+			}
+			w.mu.Unlock()
+		}
+		if ready == d.entries && held == len(d.Workers) {
+			time.Sleep(time.Second) // the rows of the last workers are being written
+			d.Record.Logf("deployment is ready")
+			return nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return errors.New("the deployment is not ready after 15 s")
+}
+
+// Stop ends all processes of the deployment, and keeps their logs if KEEP names a folder.
+func (d *Deployment) Stop() {
+	for name := range d.procs {
+		// The process may have ended by itself.
+		_ = d.Kill(name)
+	}
+	for _, w := range d.Workers {
+		w.end("lost")
+	}
+	if d.server != nil {
+		// The error is that of closing the listener.
+		_ = d.server.Close()
+	}
+	for _, log := range d.logs {
+		log.Close()
+	}
+	if keep := os.Getenv("KEEP"); keep != "" && d.dir != "" {
+		_ = os.CopyFS(keep, os.DirFS(d.dir))
+	}
+	if d.dir != "" {
+		_ = os.RemoveAll(d.dir)
+	}
+}
+
+// Call sends a client's request to an entry. The answer is the status, or 0 for none, and
+// the body.
+func (d *Deployment) Call(entry int, method, path string, body any) (int, string) {
+	var data []byte
+	if body != nil {
+		var err error
+		if data, err = json.Marshal(body); err != nil {
+			panic(err) // plain values always marshal
+		}
+	}
+	req, err := http.NewRequest(method, "http://"+d.addr(1, entry%d.entries, frontPort)+path, bytes.NewReader(data))
+	if err != nil {
+		panic(err) // the address and the path are well formed
+	}
+	req.Host = Host
+	req.Header.Set("Api-Key", Key)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Parsleypier-Deadline-Ms", "3000")
+	client := http.Client{Timeout: 3 * time.Second}
+	status, answer := 0, ""
+	if resp, err := client.Do(req); err == nil {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 4096))
+		resp.Body.Close()
+		status, answer = resp.StatusCode, strings.TrimSpace(string(text))
+	}
+	d.Record.Logf("client: %s %s at entry %d -> %d %s", method, path, entry%d.entries, status, answer)
+	return status, answer
+}
+
+// Submit hands a job in until it is accepted, up to five times.
+func (d *Deployment) Submit(entry int, path string, body any) error {
+	for i := range 5 {
+		if status, _ := d.Call(entry+i, http.MethodPost, path, body); status/100 == 2 {
+			return nil
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	return fmt.Errorf("%s was not accepted", path)
+}
+
+// State returns the state of a job as an entry shows it, or "" if it gives none.
+func (d *Deployment) State(entry int, path string) string {
+	_, answer := d.Call(entry, http.MethodGet, path, nil)
+	var body struct{ State string }
+	if json.Unmarshal([]byte(answer), &body) != nil {
+		return ""
+	}
+	return body.State
+}
+
+// Incomplete returns the jobs that are not shown as completed within limit.
+func (d *Deployment) Incomplete(paths []string, limit time.Duration) []string {
+	left, ends := paths, time.Now().Add(limit)
+	for i := 0; ; i++ {
+		var next []string
+		for _, p := range left {
+			if d.State(i, p) != "completed" {
+				next = append(next, p)
+			}
+		}
+		if left = next; len(left) == 0 || time.Now().After(ends) {
+			return left
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
