--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -6,12 +6,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -119,7 +121,10 @@
 	dir     string
 	procs   map[string]*exec.Cmd
 	logs    []*os.File
-	server  *http.Server
+	// supervised is closed to end Supervise, if it was called.
+	supervised chan struct{}
+	supervisor sync.WaitGroup
+	server     *http.Server
 }
 
 // Start starts the store, the entries, and workers with their agents. taskOf says how tasks
@@ -217,6 +222,70 @@
 	return nil
 }
 
+// Supervise does to the system's processes what the platform does until Stop: a process that
+// has more than memoryMb is killed, and one that has ended is started again after
+// restartDelay. It returns a function that returns the numbers of kills by process.
+func (d *Deployment) Supervise() (kills func() map[string]int) {
+	var mu sync.Mutex
+	counts := map[string]int{}
+	d.supervised = make(chan struct{})
+	d.supervisor.Add(1)
+	go func() {
+		defer d.supervisor.Done()
+		restartAt := map[string]time.Time{}
+		for {
+			select {
+			case <-d.supervised:
+				return
+			case <-time.After(memoryPoll):
+			}
+			for name, at := range restartAt {
+				if time.Now().After(at) {
+					delete(restartAt, name)
+					if err := d.StartProcess(name); err != nil {
+						d.Record.Logf("process %s did not start: %v", name, err)
+					}
+				}
+			}
+			for name, cmd := range d.procs {
+				if mb := residentMb(cmd.Process.Pid); mb > memoryMb {
+					d.Record.Logf("process %s has %d MB, over memoryMb = %d", name, mb, memoryMb)
+					// The process may have ended by itself.
+					_ = d.Kill(name)
+					restartAt[name] = time.Now().Add(restartDelay)
+					mu.Lock()
+					counts[name]++
+					mu.Unlock()
+				}
+			}
+		}
+	}()
+	return func() map[string]int {
+		mu.Lock()
+		defer mu.Unlock()
+		return maps.Clone(counts)
+	}
+}
+
+const (
+	memoryMb     = 284 // as in the settings
+	memoryPoll   = 20 * time.Millisecond
+	restartDelay = time.Second
+)
+
+// residentMb returns the memory of a process in MB, or 0 if it has ended.
+func residentMb(pid int) int {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int
+	if _, err := fmt.Sscan(string(data), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * os.Getpagesize() >> 20
+}
+
 // Kill sends SIGKILL to a process and waits for its end.
 func (d *Deployment) Kill(name string) error {
 	cmd := d.procs[name]
@@ -264,6 +333,10 @@
 
 // Stop ends all processes of the deployment, and keeps their logs if KEEP names a folder.
 func (d *Deployment) Stop() {
+	if d.supervised != nil {
+		close(d.supervised)
+		d.supervisor.Wait()
+	}
 	for name := range d.procs {
 		// The process may have ended by itself.
 		_ = d.Kill(name)
