--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -115,6 +115,7 @@
 	Store   *Store
 	Workers []*Worker
 	Runs    *Runs
+	Links   []*Link
 
 	entries int
 	network int
@@ -130,6 +131,11 @@
 // Start starts the store, the entries, and workers with their agents. taskOf says how tasks
 // behave. The caller must call Stop, also after an error.
 func Start(r *Record, entries, workers int, taskOf func(task string) Task) (*Deployment, error) {
+	return StartLinked(r, entries, workers, 0, taskOf)
+}
+
+// StartLinked is Start with links between the first workers and their agents.
+func StartLinked(r *Record, entries, workers, linked int, taskOf func(task string) Task) (*Deployment, error) {
 	d := &Deployment{Record: r, Runs: &Runs{}, entries: entries, procs: map[string]*exec.Cmd{}}
 	if _, err := os.Stat(Program[0]); err != nil {
 		return d, err
@@ -155,21 +161,36 @@
 		}
 	}
 	for i := range workers {
-		if err := d.StartProcess(agentName(i)); err != nil {
-			return d, err
-		}
-		w := &Worker{
-			ID: fmt.Sprintf("i-%08x", 0x7f3a9100+i), Addr: d.addr(2, i, appPort), Control: d.addr(2, i, controlPort), Labels: []string{"a", fmt.Sprintf("r1-%d", i/3)},
-			Capacity: Resources{64000, 262144, 8}, TaskOf: taskOf, record: r, runs: d.Runs,
-		}
-		d.Workers = append(d.Workers, w)
-		if err := w.Boot(); err != nil {
+		if err := d.startWorker(i, taskOf, i < linked); err != nil {
 			return d, err
 		}
 	}
 	return d, d.waitReady()
 }
 
+// startWorker starts a worker and its agent. If linked, calls between the two pass links.
+func (d *Deployment) startWorker(i int, taskOf func(task string) Task, linked bool) error {
+	w := &Worker{
+		ID: fmt.Sprintf("i-%08x", 0x7f3a9100+i), Addr: d.addr(2, i, appPort), Control: d.addr(2, i, controlPort), Labels: []string{"a", fmt.Sprintf("r1-%d", i/3)},
+		Capacity: Resources{64000, 262144, 8}, TaskOf: taskOf, record: d.Record, runs: d.Runs,
+	}
+	if linked {
+		w.Listen, w.Control = d.addr(2, i, appPort+1), d.addr(2, i, controlPort+1)
+		for listen, target := range map[string]string{w.Addr: w.Listen, w.Control: d.addr(2, i, controlPort)} {
+			link, err := NewLink(listen, target)
+			if err != nil {
+				return err
+			}
+			d.Links = append(d.Links, link)
+		}
+	}
+	if err := d.StartProcess(agentName(i)); err != nil {
+		return err
+	}
+	d.Workers = append(d.Workers, w)
+	return w.Boot()
+}
+
 // listenStore finds a network of loopback addresses that no other deployment uses.
 func (d *Deployment) listenStore() (net.Listener, error) {
 	for n := range 100 {
@@ -344,6 +365,9 @@
 	for _, w := range d.Workers {
 		w.end("lost")
 	}
+	for _, link := range d.Links {
+		link.Close()
+	}
 	if d.server != nil {
 		// The error is that of closing the listener.
 		_ = d.server.Close()
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -68,12 +69,12 @@
 // Worker is a stand-in of a worker. Its process can crash and start again under the same id.
 type Worker struct {
 	ID, Addr, Control string
-	Labels            []string
-	Capacity          Resources
+	// Listen is where the worker's process listens, if calls to Addr pass a link; else empty.
+	Listen   string
+	Labels   []string
+	Capacity Resources
 	// TaskOf returns how a task behaves.
 	TaskOf func(task string) Task
-	// Deliver sends a check-in or a leave; nil sends it at once.
-	Deliver func(send func() bool) bool
 
 	record *Record
 	runs   *Runs
@@ -83,6 +84,7 @@
 	up       bool
 	draining bool
 	server   *http.Server
+	client   *http.Client // for calls to the agent
 	cancel   context.CancelFunc
 	fence    uint64
 	leaseMs  int64
@@ -135,7 +137,7 @@
 
 // Boot starts the worker's process.
 func (w *Worker) Boot() error {
-	l, err := net.Listen("tcp", w.Addr)
+	l, err := net.Listen("tcp", cmp.Or(w.Listen, w.Addr))
 	if err != nil {
 		return err
 	}
@@ -147,6 +149,7 @@
 	w.mu.Lock()
 	w.born, w.up, w.draining = time.Now(), true, false
 	w.server, w.cancel = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}, cancel
+	w.client = &http.Client{Transport: &http.Transport{}, Timeout: time.Second}
 	w.fence, w.leaseMs, w.lastSeq, w.finished, w.holds = 0, 0, 0, nil, 0
 	w.running, w.stopped, w.changed = map[string]*Run{}, map[string]int{}, make(chan struct{})
 	server, born := w.server, w.born
@@ -188,36 +191,25 @@
 	w.record.Logf("worker %s: boot %d ends (%s)", w.ID, w.born.UnixMilli(), how)
 }
 
-// SetDraining makes the worker say that it drains, at once and from now on.
+// End ends the worker's process as planned.
+func (w *Worker) End() { w.end("lost") }
+
+// SetDraining makes the worker say in its check-ins that it drains.
 func (w *Worker) SetDraining() {
 	w.mu.Lock()
 	w.draining = true
 	w.mu.Unlock()
 }
 
-// Leave tells the agent that the worker leaves, and ends its process.
-func (w *Worker) Leave(afterEnd bool) {
-	send := func() bool {
-		ok := w.post("/leave", nil)
-		w.record.Logf("worker %s: leave delivered, confirmed %v", w.ID, ok)
-		return ok
-	}
-	if afterEnd {
-		w.end("lost")
-		w.deliver(send)
-		return
-	}
-	w.deliver(send)
-	w.end("lost")
-}
-
-func (w *Worker) deliver(send func() bool) bool {
-	if w.Deliver != nil {
-		return w.Deliver(send)
-	}
-	return send()
+// Leave tells the agent that the worker leaves, and reports whether it has confirmed that.
+func (w *Worker) Leave() bool {
+	w.record.Logf("worker %s: sends leave", w.ID)
+	confirmed := w.post("/leave", nil)
+	w.record.Logf("worker %s: leave is confirmed: %v", w.ID, confirmed)
+	return confirmed
 }
 
+// post sends a call to the agent, on the channel of the last one if that is open.
 func (w *Worker) post(operation string, body any) bool {
 	var data []byte
 	if body != nil {
@@ -226,12 +218,17 @@
 			panic(err) // plain values always marshal
 		}
 	}
-	client := http.Client{Timeout: time.Second}
+	w.mu.Lock()
+	client := w.client
+	w.mu.Unlock()
 	resp, err := client.Post("http://"+w.Control+"/instances/"+w.ID+operation, "application/json", bytes.NewReader(data))
 	if err != nil {
 		return false
 	}
-	resp.Body.Close()
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return false
+	}
 	return resp.StatusCode/100 == 2
 }
 
@@ -251,7 +248,8 @@
 		}
 		w.mu.Unlock()
 		wait := heartbeatInterval
-		if !w.deliver(func() bool { return w.post("/heartbeat", body) }) {
+		if confirmed := w.post("/heartbeat", body); !confirmed && ctx.Err() == nil {
+			w.record.Logf("worker %s: a check-in is not confirmed", w.ID)
 			wait = heartbeatRetry
 		}
 		select {
