--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -439,7 +439,7 @@
 	for i := 0; ; i++ {
 		var next []string
 		for _, p := range left {
-			if d.State(i, p) != "completed" {
+			if time.Now().After(ends) || d.State(i, p) != "completed" {
 				next = append(next, p)
 			}
 		}
