--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -14,7 +14,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -239,6 +238,7 @@
 		return err
 	}
 	d.procs[name] = cmd
+	live.Store(cmd.Process, struct{}{})
 	d.Record.Logf("process %s started", name)
 	return nil
 }
@@ -314,11 +314,12 @@
 		return fmt.Errorf("process %s is not running", name)
 	}
 	delete(d.procs, name)
-	if err := cmd.Process.Signal(syscall.SIGKILL); err != nil {
+	if err := cmd.Process.Kill(); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return err
 	}
 	// Wait reports the signal as an error.
 	_ = cmd.Wait()
+	live.Delete(cmd.Process)
 	d.Record.Logf("process %s killed", name)
 	return nil
 }
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -6,8 +6,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -69,6 +71,7 @@
 		os.Exit(ExitCannotRun)
 	}
 	r.Sayf("trouble: %v", Trouble())
+	go giveUp(r)
 	code, err := scenario(r)
 	if err != nil {
 		r.Sayf("the case could not run: %v", err)
@@ -80,3 +83,27 @@
 	}
 	os.Exit(code)
 }
+
+// timeLimit is when a script gives up. It may last 120 s.
+const timeLimit = 112 * time.Second
+
+// live has the processes of the system that were started and not waited for.
+var live sync.Map
+
+// giveUp ends the script with all processes that it started, at timeLimit or after a signal.
+func giveUp(r *Record) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-signals:
+		r.Sayf("ended by a signal")
+	case <-time.After(timeLimit):
+		r.Sayf("not finished after %v", timeLimit)
+	}
+	live.Range(func(p, _ any) bool {
+		// The process may have ended by itself.
+		_ = p.(*os.Process).Kill()
+		return true
+	})
+	os.Exit(ExitCannotRun)
+}
