--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -7,24 +7,30 @@
 	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 )
 
-// Ports, the same on all machines of a deployment.
+// Ports of a deployment, counted from its first one. They are the same on all its machines.
 const (
-	frontPort   = 18521
-	readyPort   = 18523
-	storePort   = 18524
-	controlPort = 18526
-	appPort     = 18529
-	firstPort   = 18600
+	storePort = iota
+	frontPort
+	readyPort
+	controlPort
+	appPort
+	linkedControlPort // where a link to the agent listens
+	linkedAppPort     // where a worker listens behind a link
+	rpcPort
+	metricsPort
+	portCount
 )
 
 // Names in the configuration of a deployment.
@@ -54,7 +60,7 @@
 ip = %q
 zone = "om-north-a"
 region = "om-north"
-portRange = [18600,18615]
+portRange = [%d,%d]
 seeds = []
 bootstrap = true
 countsAsLoss = false
@@ -118,6 +124,7 @@
 
 	entries int
 	network int
+	base    int // the first port
 	dir     string
 	procs   map[string]*exec.Cmd
 	logs    []*os.File
@@ -143,7 +150,7 @@
 	if d.dir, err = os.MkdirTemp("", "parsleypier-review"); err != nil {
 		return d, err
 	}
-	l, err := d.listenStore()
+	l, err := d.listenStore(entries, workers)
 	if err != nil {
 		return d, err
 	}
@@ -174,7 +181,7 @@
 		Capacity: Resources{64000, 262144, 8}, TaskOf: taskOf, record: d.Record, runs: d.Runs,
 	}
 	if linked {
-		w.Listen, w.Control = d.addr(2, i, appPort+1), d.addr(2, i, controlPort+1)
+		w.Listen, w.Control = d.addr(2, i, linkedAppPort), d.addr(2, i, linkedControlPort)
 		for listen, target := range map[string]string{w.Addr: w.Listen, w.Control: d.addr(2, i, controlPort)} {
 			link, err := NewLink(listen, target)
 			if err != nil {
@@ -190,10 +197,17 @@
 	return w.Boot()
 }
 
-// listenStore finds a network of loopback addresses that no other deployment uses.
-func (d *Deployment) listenStore() (net.Listener, error) {
-	for n := range 100 {
-		d.network = 40 + (os.Getpid()+n)%200
+// Ports are taken from this range, which systems do not give to outgoing channels.
+const firstPort, lastPort = 12000, 30000
+
+// listenStore finds loopback addresses and ports that are free on all machines of the
+// deployment, and listens for the store.
+func (d *Deployment) listenStore(entries, workers int) (net.Listener, error) {
+	for range 100 {
+		d.network, d.base = 40+rand.IntN(200), firstPort+rand.IntN(lastPort-firstPort-portCount)
+		if !d.free(1, entries) || !d.free(2, workers) {
+			continue
+		}
 		if l, err := net.Listen("tcp", d.addr(0, 0, storePort)); err == nil {
 			return l, nil
 		}
@@ -201,13 +215,27 @@
 	return nil, errors.New("no free loopback addresses")
 }
 
+// free reports whether all ports of the first n machines of a class are free.
+func (d *Deployment) free(class, n int) bool {
+	for i := range n {
+		for port := range portCount {
+			l, err := net.Listen("tcp", d.addr(class, i, port))
+			if err != nil {
+				return false
+			}
+			l.Close()
+		}
+	}
+	return true
+}
+
 func entryName(i int) string { return fmt.Sprintf("edge-om-north-a-%d", i) }
 func agentName(i int) string { return fmt.Sprintf("side-om-north-a-%d", i) }
 
 // addr returns an address of the i-th machine of a class: 0 the store, 1 the entries, 2 the
 // workers with their agents.
 func (d *Deployment) addr(class, i, port int) string {
-	return fmt.Sprintf("127.%d.%d.%d:%d", d.network, class, i+1, port)
+	return fmt.Sprintf("127.%d.%d.%d:%d", d.network, class, i+1, d.base+port)
 }
 
 // StartProcess starts a process of the system.
@@ -221,7 +249,7 @@
 		bind = fmt.Sprintf("control = %q\n", d.addr(2, i, controlPort))
 	}
 	ip, _, _ := strings.Cut(d.addr(class, i, 0), ":")
-	text := fmt.Sprintf(settings, name, role, serves, serves, ip, d.addr(2, i, appPort), bind, d.addr(0, 0, storePort))
+	text := fmt.Sprintf(settings, name, role, serves, serves, ip, d.base+rpcPort, d.base+metricsPort, d.addr(2, i, appPort), bind, d.addr(0, 0, storePort))
 	file := filepath.Join(d.dir, name+".toml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
@@ -324,6 +352,21 @@
 	return nil
 }
 
+// Restart crashes workers, which are back after the given time.
+func (d *Deployment) Restart(workers []*Worker, back time.Duration) error {
+	d.Record.Sayf("%d workers crash for %v", len(workers), back)
+	for _, w := range workers {
+		w.Crash()
+	}
+	time.Sleep(back)
+	for _, w := range workers {
+		if err := w.Boot(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (d *Deployment) waitReady() error {
 	for range 150 {
 		ready := 0
@@ -450,3 +493,32 @@
 		time.Sleep(500 * time.Millisecond)
 	}
 }
+
+// lostSpan is for how long LOST allows a job to have nothing running.
+const lostSpan = 3 * time.Second
+
+// NothingRuns watches for lostSpan, and a second more, and reports whether LOST is broken for
+// a job with one task that has not begun: all that time nothing of it runs, the workers with
+// the label have room for the task twice over, and under half of the workers' capacity is in
+// use.
+func (d *Deployment) NothingRuns(job, label string, need Resources) bool {
+	for ends := time.Now().Add(lostSpan + time.Second); time.Now().Before(ends); time.Sleep(50 * time.Millisecond) {
+		if d.Runs.Begun(job) > 0 {
+			return false
+		}
+		room := 0
+		var used, all Resources
+		for _, w := range d.Workers {
+			free, up := w.free()
+			all = Resources{all.CPU + w.Capacity.CPU, all.MemMb + w.Capacity.MemMb, all.GPU + w.Capacity.GPU}
+			used = Resources{used.CPU + w.Capacity.CPU - free.CPU, used.MemMb + w.Capacity.MemMb - free.MemMb, used.GPU + w.Capacity.GPU - free.GPU}
+			if up && slices.Contains(w.Labels, label) {
+				room += min(free.CPU/need.CPU, free.MemMb/need.MemMb, free.GPU/need.GPU)
+			}
+		}
+		if room < 2 || 2*used.CPU >= all.CPU || 2*used.MemMb >= all.MemMb || 2*used.GPU >= all.GPU {
+			return false
+		}
+	}
+	return true
+}
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -27,9 +26,9 @@
 	began time.Time
 }
 
-// NewRecord creates record.txt in dir.
-func NewRecord(dir string) (*Record, error) {
-	f, err := os.Create(filepath.Join(dir, "record.txt"))
+// NewRecord creates the file of a record.
+func NewRecord(path string) (*Record, error) {
+	f, err := os.Create(path)
 	if err != nil {
 		return nil, err
 	}
@@ -58,14 +57,14 @@
 // Trouble reports whether the script is to cause the disruption.
 func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
-// Main runs a script's scenario and exits with its code. dir is the script's folder. The
-// scenario returns the code.
+// Main runs a script's scenario and exits with the code that it returns. RECORD names the
+// file of the record.
 func Main(scenario func(r *Record) (int, error)) {
-	dir := os.Getenv("REVIEW_CASE")
-	if dir == "" {
-		dir = "."
+	path := os.Getenv("RECORD")
+	if path == "" {
+		path = "record.txt"
 	}
-	r, err := NewRecord(dir)
+	r, err := NewRecord(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(ExitCannotRun)
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -340,13 +340,26 @@
 	return http.StatusOK, map[string]any{}
 }
 
-// fits reports whether there is room for one more task. w.mu must be held.
-func (w *Worker) fits(need Resources) bool {
+// room returns the capacity that no run holds. w.mu must be held.
+func (w *Worker) room() Resources {
 	free := w.Capacity
 	for _, run := range w.running {
 		n := w.TaskOf(run.Task).Need
 		free.CPU, free.MemMb, free.GPU = free.CPU-n.CPU, free.MemMb-n.MemMb, free.GPU-n.GPU
 	}
+	return free
+}
+
+// free returns the capacity that no run holds, and whether the worker is up.
+func (w *Worker) free() (Resources, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.room(), w.up
+}
+
+// fits reports whether there is room for one more task. w.mu must be held.
+func (w *Worker) fits(need Resources) bool {
+	free := w.room()
 	return need.CPU <= free.CPU && need.MemMb <= free.MemMb && need.GPU <= free.GPU
 }
 
