--- a/review/1/main.go
+++ b/review/1/main.go
@@ -12,12 +12,12 @@
 const (
 	jobs     = 60
 	taskTime = 2500 * time.Millisecond
-	// The store is silent from outageDelay after the hand-in, for outage. In it, the
-	// workers of two racks crash, crashDelay and crashDelay + crashGap after its begin, and
-	// are back after crashTime.
+	// The store is silent from outageDelay after the hand-in, for outage. In it, two workers
+	// crash at a time, crashTimes times, the first ones crashDelay after its begin. They are
+	// back after crashTime, before the next ones crash.
 	outageDelay, outage              = 1200 * time.Millisecond, 4500 * time.Millisecond
-	crashDelay, crashGap, crashTime  = 2 * time.Second, 500 * time.Millisecond, 500 * time.Millisecond
-	racks, workersPerRack            = 2, 3
+	crashDelay, crashGap, crashTime  = 1800 * time.Millisecond, 800 * time.Millisecond, 500 * time.Millisecond
+	crashTimes, crashedAtATime       = 3, 2             // of 11 workers, a share of 0.14
 	settleTime                       = 7 * time.Second  // contactMs and ackMs after the outage
 	finishLimit                      = 14 * time.Second // finish_s
 	maxUnnotedShare                  = 0.2
@@ -71,8 +71,8 @@
 		r.Sayf("the store refused %d transactions: %s", n, why)
 	}
 	broken := false
-	if d.Runs.Begun(lateJob) == 0 {
-		r.Sayf("LOST is broken: job %s has nothing running for %v although its three workers are idle", lateJob, finishLimit)
+	if d.NothingRuns(lateJob, "r1-0", taskOf(lateJob).Need) {
+		r.Sayf("LOST is broken: %v after the traffic, job %s has nothing running for over 3 s although its three workers are idle", finishLimit, lateJob)
 		broken = true
 	}
 	if float64(unnoted) > maxUnnotedShare*float64(ends) {
@@ -89,23 +89,15 @@
 	return standin.ExitHeld, nil
 }
 
-// disrupt silences the store, and crashes the workers of some racks meanwhile.
+// disrupt silences the store, and crashes some workers meanwhile.
 func disrupt(r *standin.Record, d *standin.Deployment) error {
 	r.Sayf("the store is silent for %v", outage)
 	end, began := d.Store.Silence(), time.Now()
 	defer end()
-	for rack := range racks {
-		time.Sleep(time.Until(began.Add(crashDelay + time.Duration(rack)*crashGap)))
-		workers := d.Workers[rack*workersPerRack : (rack+1)*workersPerRack]
-		r.Sayf("%d workers of a rack crash for %v", len(workers), crashTime)
-		for _, w := range workers {
-			w.Crash()
-		}
-		time.Sleep(crashTime)
-		for _, w := range workers {
-			if err := w.Boot(); err != nil {
-				return err
-			}
+	for i := range crashTimes {
+		time.Sleep(time.Until(began.Add(crashDelay + time.Duration(i)*crashGap)))
+		if err := d.Restart(d.Workers[i*crashedAtATime:(i+1)*crashedAtATime], crashTime); err != nil {
+			return err
 		}
 	}
 	time.Sleep(time.Until(began.Add(outage)))
