--- a/review/1/main.go
+++ b/review/1/main.go
@@ -17,12 +17,12 @@
 	// back after crashTime, before the next ones crash.
 	outageDelay, outage              = 1200 * time.Millisecond, 4500 * time.Millisecond
 	crashDelay, crashGap, crashTime  = 1800 * time.Millisecond, 800 * time.Millisecond, 500 * time.Millisecond
-	crashTimes, crashedAtATime       = 3, 2             // of 11 workers, a share of 0.14
+	crashTimes, crashedAtATime       = 3, 2             // of 15 workers, a share of 0.13
 	settleTime                       = 7 * time.Second  // contactMs and ackMs after the outage
 	finishLimit                      = 14 * time.Second // finish_s
 	maxUnnotedShare                  = 0.2
 	lateJob                          = "5c0e7a21ffffffff"
-	workersInDeployment, allEntries  = 11, 3
+	workersInDeployment, allEntries  = 15, 3
 	cpuPerTask, memPerTask, gpusEach = 5600, 16000, 1
 )
 
