--- a/review/3/main.go
+++ b/review/3/main.go
@@ -17,7 +17,7 @@
 	largeJob      = "5c0e7a21eeeeeeee"
 	largeWidth    = 470
 	largeTimes    = 8
-	largeInterval = 1500 * time.Millisecond
+	largeInterval = 3 * time.Second // every_s
 	largeTask     = 1200 * time.Millisecond
 	largeCPU      = 300
 	largeMem      = 100
@@ -28,10 +28,10 @@
 	smallTask    = 800 * time.Millisecond
 	smallCPU     = 2000
 	smallMem     = 4000
-	workers      = 11
+	workers      = 15
 	entries      = 3
 	crashTimes   = 2
-	atATime      = 2 // of 11 workers, a share of 0.14
+	atATime      = 2 // of 15 workers, a share of 0.13
 	crashTime    = 500 * time.Millisecond
 	settleTime   = 7 * time.Second
 	finishLimit  = 14 * time.Second // finish_s
