--- a/review/5/main.go
+++ b/review/5/main.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	workers, entries = 5, 3
+	workers, entries = 6, 3
 	cpu, mem, gpu    = 60000, 100000, 8 // a task fills a worker
 	drainTime        = 4 * time.Second
 	// The first worker is cut off from its agent for cut. It ends endDelay after it has sent
