Keep the owner's transactions within the limits of the store

What callers saw: after an outage of the store in which workers had restarted, jobs were shown as running for good, and jobs that only those workers could run never started.

Cause: nextBatch limited jobs and workers apart from each other, up to 151 entries; the store takes 100. It answered 400, and the owner sent the same transaction again for ever.

Change: batches are built with rowstore.Txn.Append, which keeps 100 entries and 1 MB. A refusal for good halves the batch until the refused item is alone; that one is not sent again unchanged. The stubs refuse what the platform's pages forbid, with 400.

--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"time"
@@ -55,14 +56,60 @@
 	Deletes []Ref
 }
 
-// Limits of a transaction. Callers must split larger ones. MaxTxnBytes and
-// MaxRowBytes are in bytes.
+// Limits of the store, which refuses for good what exceeds them. MaxTxnBytes limits the
+// bytes of the call that sends a transaction, MaxRowBytes those of a row's value and
+// MaxKeyBytes those of its key.
 const (
 	MaxTxnEntries = 100
-	MaxTxnBytes   = 1 << 20
+	MaxTxnBytes   = 1_000_000
 	MaxRowBytes   = 64 << 10
+	MaxKeyBytes   = 200
 )
 
+// Upper bounds of what an entry adds to the bytes of a call beside its value: for each
+// byte of its names, which may be escaped, and for all else.
+const (
+	nameByteCost = 6
+	entryCost    = 160
+)
+
+// Entries returns the number of entries, as the store counts them.
+func (t *Txn) Entries() int { return len(t.Checks) + len(t.Puts) + len(t.Deletes) }
+
+// Size returns an upper bound of the bytes of the call that sends the transaction.
+func (t *Txn) Size() int {
+	size := entryCost
+	add := func(table, key string, value int) {
+		size += entryCost + nameByteCost*(len(table)+len(key)) + base64.StdEncoding.EncodedLen(value)
+	}
+	for _, c := range t.Checks {
+		add(c.Table, c.Key, 0)
+	}
+	for _, p := range t.Puts {
+		add(p.Table, p.Key, len(p.Value))
+	}
+	for _, d := range t.Deletes {
+		add(d.Table, d.Key, 0)
+	}
+	return size
+}
+
+// Append adds the entries of o if the transaction then keeps the limits of one, and
+// reports whether it did. An empty transaction takes any o.
+func (t *Txn) Append(o Txn) bool {
+	if t.Entries() > 0 && (t.Entries()+o.Entries() > MaxTxnEntries || t.Size()+o.Size() > MaxTxnBytes) {
+		return false
+	}
+	t.Checks = append(t.Checks, o.Checks...)
+	t.Puts = append(t.Puts, o.Puts...)
+	t.Deletes = append(t.Deletes, o.Deletes...)
+	return true
+}
+
+// RefusedForGood reports whether the store has refused a call for what it contains. It
+// would refuse the same call again.
+func RefusedForGood(err error) bool { return verdict.HasCode(err, verdict.CodeBadRequest) }
+
 // Conflict is the error of a transaction with a check that did not hold. The
 // transaction had no effect.
 type Conflict struct {
@@ -89,7 +136,7 @@
 
 // Store is the interface to the tables. Errors other than Conflict and ErrHistoryGone are
 // *verdict.Error with the code platform_unavailable (NotRun if a write cannot
-// take effect any more, MayHaveRun otherwise) or bad_request.
+// take effect any more, MayHaveRun otherwise) or bad_request (see RefusedForGood).
 type Store interface {
 	// Commit applies a transaction and returns its version, which every row that it
 	// wrote has.
--- a/internal/rowstorestub/rowstorestub.go
+++ b/internal/rowstorestub/rowstorestub.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"slices"
 	"strings"
 	"sync"
@@ -45,6 +46,7 @@
 	version        uint64
 	faults         Faults
 	commitCount    int
+	refused        int           // transactions that exceeded a limit
 	changed        chan struct{} // closed and replaced after each change of rows
 	// Partition returns the partition of a row; nil means a single partition. It
 	// must be set before use. Transactions over several partitions are refused.
@@ -63,6 +65,14 @@
 	t.faults = f
 }
 
+// Refused returns the number of transactions that were refused because they exceeded a
+// limit of the store.
+func (t *Table) Refused() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.refused
+}
+
 // DropHistory drops the history, so that feeds from earlier versions fail with
 // rowstore.ErrHistoryGone.
 func (t *Table) DropHistory() {
@@ -196,6 +206,41 @@
 	return len(seen) <= 1
 }
 
+// Limits of the users' store. They are not those of package rowstore, which are tested
+// against them.
+const (
+	maxEntries    = 100
+	maxCallBytes  = 1_000_000
+	maxValueBytes = 65_536
+	maxNameBytes  = 200
+)
+
+// checkLimits returns an error if the transaction exceeds a limit of the store.
+func checkLimits(txn rowstore.Txn) error {
+	entries, size := 0, 0
+	var err error
+	count := func(table, key string, value []byte) {
+		entries++
+		size += len(table) + len(key) + base64.StdEncoding.EncodedLen(len(value))
+		if len(table) > maxNameBytes || len(key) > maxNameBytes || len(value) > maxValueBytes {
+			err = verdict.Refuse(verdict.CodeBadRequest, "row %.40s of table %.40s has %d bytes, its key %d", key, table, len(value), len(key))
+		}
+	}
+	for _, c := range txn.Checks {
+		count(c.Table, c.Key, nil)
+	}
+	for _, p := range txn.Puts {
+		count(p.Table, p.Key, p.Value)
+	}
+	for _, d := range txn.Deletes {
+		count(d.Table, d.Key, nil)
+	}
+	if entries > maxEntries || size > maxCallBytes {
+		return verdict.Refuse(verdict.CodeBadRequest, "a transaction of %d entries and %d bytes", entries, size)
+	}
+	return err
+}
+
 // apply commits a transaction unless its checks fail. If they fail because the
 // same transaction has already been applied, it reports success.
 func (t *Table) apply(txn rowstore.Txn) (uint64, error) {
@@ -204,6 +249,10 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if err := checkLimits(txn); err != nil {
+		t.refused++
+		return 0, err
+	}
 	conflict := &rowstore.Conflict{}
 	ok := true
 	for _, check := range txn.Checks {
--- a/internal/workflowowner/job.go
+++ b/internal/workflowowner/job.go
@@ -26,6 +26,7 @@
 	// the generation that is stored. storedState is the final state that is stored.
 	progressGen, durableGen uint64
 	storedState             workflow.State
+	unstorable              bool   // the store has refused even the row of the ended job
 	crashGen                uint64 // progressGen of the last crash under the job
 	cancelled               bool
 
--- a/internal/workflowowner/metrics.go
+++ b/internal/workflowowner/metrics.go
@@ -17,6 +17,7 @@
 	workerEnds     = subMap("worker_ends")   // ended workers, by how they ended
 	lostRuns       = new(expvar.Int)         // runs lost because their worker ended or its leases expired
 	writeLatency   = subMap("write_latency") // writes to the store, by upper bound
+	refusedWrites  = new(expvar.Int)         // transactions that the store refused for good
 	decisionTime   = subMap("decision_time") // decisions including the resulting orders, by upper bound
 )
 
@@ -24,6 +25,7 @@
 	metrics.Set("takeovers", takeovers)
 	metrics.Set("stops", stopsOrdered)
 	metrics.Set("lost_runs", lostRuns)
+	metrics.Set("refused_writes", refusedWrites)
 }
 
 func subMap(name string) *expvar.Map {
--- a/internal/workflowowner/owner.go
+++ b/internal/workflowowner/owner.go
@@ -151,7 +151,10 @@
 	adviceInFlight bool
 	wakeDecide     chan struct{} // signals decisionLoop
 	wakePersist    chan struct{} // signals persistLoop
-	written        chan struct{} // closed and replaced after each successful write
+	// batchLimit limits the jobs and workers of the next transaction, after one that the
+	// store has refused.
+	batchLimit int
+	written    chan struct{} // closed and replaced after each successful write
 }
 
 // New returns an owner that is inactive until Start is called.
@@ -161,6 +164,7 @@
 		opts: o, startedAt: time.Now(), ctx: ctx, cancel: cancel, jobs: map[string]*job{}, workers: map[string]*worker{},
 		queueWork: map[string]average{}, runtimes: estimate.NewRuntimesWithPrior(declaredPrior), health: estimate.NewHealth(),
 		wakeDecide: make(chan struct{}, 1), wakePersist: make(chan struct{}, 1), written: make(chan struct{}),
+		batchLimit: maxBatchItems,
 	}
 }
 
--- a/internal/workflowowner/owner_test.go
+++ b/internal/workflowowner/owner_test.go
@@ -166,8 +166,11 @@
 }
 
 // progress returns the stored progress of testJob.
-func (r *harness) progress() *workflow.Progress {
-	row, ok, err := r.table.ClientFor("test").Get(r.t.Context(), testTable, workflow.ProgressPrefix+testJob)
+func (r *harness) progress() *workflow.Progress { return r.storedProgress(testJob) }
+
+// storedProgress returns the stored progress of a job.
+func (r *harness) storedProgress(id string) *workflow.Progress {
+	row, ok, err := r.table.ClientFor("test").Get(r.t.Context(), testTable, workflow.ProgressPrefix+id)
 	p := &workflow.Progress{}
 	if err != nil || ok && json.Unmarshal(row.Value, p) != nil {
 		r.t.Fatalf("cannot read the stored progress: %v", err)
--- a/internal/workflowowner/persist.go
+++ b/internal/workflowowner/persist.go
@@ -16,10 +16,11 @@
 
 // Limits of the owner's writes.
 const (
-	// writeBatchJobs is the maximum number of jobs, and of workers, in a transaction. A
-	// job has up to two checks and one write.
-	writeBatchJobs = 30
-	writeTimeout   = 2500 * time.Millisecond
+	// maxBatchItems is the maximum number of jobs and workers in a transaction, which the
+	// limits of the store reduce further. maxBatchWorkers leaves room for jobs.
+	maxBatchItems   = 50
+	maxBatchWorkers = 20
+	writeTimeout    = 2500 * time.Millisecond
 	// writeRetryDelay is the mean delay after a failed write.
 	writeRetryDelay = 100 * time.Millisecond
 )
@@ -59,6 +60,15 @@
 	incarnation int64
 }
 
+// batch is a transaction of the owner with the jobs and workers that it writes.
+type batch struct {
+	txn     rowstore.Txn
+	jobs    []jobWrite
+	workers []workerWrite
+}
+
+func (b *batch) items() int { return len(b.jobs) + len(b.workers) }
+
 // writeBatch writes one transaction and reports whether there may be more to write.
 func (o *Owner) writeBatch() (bool, error) {
 	o.mu.Lock()
@@ -66,46 +76,40 @@
 		o.mu.Unlock()
 		return false, nil
 	}
-	txn, jobs, workers := o.nextBatch()
-	if len(txn.Checks) > 0 {
-		txn.Checks = append(txn.Checks, o.fence())
-	}
+	b := o.nextBatch()
 	clock := o.opts.Clock()
 	o.mu.Unlock()
-	if len(txn.Checks) == 0 {
+	if b.items() == 0 {
 		return false, nil
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, writeTimeout)
 	defer cancel()
 	sent := time.Now()
-	version, err := o.opts.Store.Commit(ctx, txn)
+	version, err := o.opts.Store.Commit(ctx, b.txn)
 	writeLatency.Add(telemetry.LatencyBucket(time.Since(sent)), 1)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var conflict *rowstore.Conflict
 	switch {
 	case errors.As(err, &conflict):
-		o.opts.Log.Event("write_conflict", "jobs", len(jobs), "workers", len(workers), "rows", len(conflict.Rows))
-		o.resolveConflict(txn, conflict)
+		o.opts.Log.Event("write_conflict", "jobs", len(b.jobs), "workers", len(b.workers), "rows", len(conflict.Rows))
+		o.resolveConflict(b.txn, conflict)
 		return o.opts.Authority(), nil
+	case rowstore.RefusedForGood(err):
+		o.handleRefusal(b, err)
+		return true, nil
 	case err != nil:
-		o.opts.Log.Event("write_failed", "jobs", len(jobs), "workers", len(workers), "err", err.Error(),
+		o.opts.Log.Event("write_failed", "jobs", len(b.jobs), "workers", len(b.workers), "err", err.Error(),
 			"verdict", verdict.Of(err).String(), "afterMs", time.Since(sent).Milliseconds())
 		return true, err
 	}
 	o.opts.OnFencedWrite(o.opts.Epoch, clock)
-	close(o.written)
-	o.written = make(chan struct{})
-	for _, wr := range jobs {
-		if !wr.job.crashesStored() {
-			signal(o.wakeDecide) // tasks may have waited for this write
-		}
-		wr.job.progressVersion, wr.job.durableGen, wr.job.storedState = version, wr.progressGen, wr.state
-		if wr.state.Final() {
-			wr.job.progress.State = wr.state // a cancellation that arrived during the write is too late
-		}
+	o.batchLimit = min(2*o.batchLimit, maxBatchItems)
+	for _, wr := range b.jobs {
+		wr.job.progressVersion, wr.job.storedState = version, wr.state
+		o.recordDurable(wr)
 	}
-	for _, wr := range workers {
+	for _, wr := range b.workers {
 		w := wr.worker
 		w.rowStored, w.rowVersion, w.rowIncarnation = wr.stored, version, wr.incarnation
 		o.opts.Log.Event("worker_row_written", "worker", w.id, "member", w.rowStored, "incarnation", w.rowIncarnation, "version", version)
@@ -114,6 +118,26 @@
 		}
 		signal(o.wakeDecide)
 	}
+	o.releaseEnds()
+	return true, nil
+}
+
+// recordDurable applies that a job's progress needs no further write up to a generation.
+func (o *Owner) recordDurable(wr jobWrite) {
+	if !wr.job.crashesStored() {
+		signal(o.wakeDecide) // tasks may have waited for this write
+	}
+	wr.job.durableGen = wr.progressGen
+	if wr.state.Final() {
+		wr.job.progress.State = wr.state // a cancellation that arrived during the write is too late
+	}
+}
+
+// releaseEnds lets the workers forget the ends that have become durable, and wakes calls
+// that wait for a write.
+func (o *Owner) releaseEnds() {
+	close(o.written)
+	o.written = make(chan struct{})
 	for _, w := range o.workers {
 		if before := w.durableEndSeq; len(w.pendingEnds) > 0 {
 			if w.updateDurableEnds(); w.durableEndSeq > before {
@@ -121,7 +145,36 @@
 			}
 		}
 	}
-	return true, nil
+}
+
+// handleRefusal handles a transaction that the store has refused for what it contains.
+// Smaller ones follow, until the item is found that the store does not take. That one is
+// not sent again unchanged, so that it holds up no other.
+func (o *Owner) handleRefusal(b batch, err error) {
+	o.opts.Log.Event("write_refused", "jobs", len(b.jobs), "workers", len(b.workers), "entries", b.txn.Entries(), "bytes", b.txn.Size(), "err", err.Error())
+	refusedWrites.Add(1)
+	if b.items() > 1 {
+		o.batchLimit = b.items() / 2
+		return
+	}
+	for _, wr := range b.workers {
+		o.opts.Log.Event("worker_row_refused", "worker", wr.worker.id, "incarnation", wr.incarnation)
+		if wr.worker.lost {
+			delete(o.workers, wr.worker.id)
+		}
+		wr.worker.rowRefused = wr.worker.incarnation == wr.incarnation
+	}
+	for _, wr := range b.jobs {
+		o.opts.Log.Event("progress_refused", "job", wr.job.id, "state", string(wr.state))
+		if !wr.state.Final() {
+			o.finish(wr.job, workflow.StateFailed) // the row of an ended job is the smallest one
+			continue
+		}
+		// Nothing of the job can be kept; its ends must not hold up those of others.
+		wr.job.unstorable = true
+		o.recordDurable(wr)
+		o.releaseEnds()
+	}
 }
 
 // row returns the value of the worker's row.
@@ -137,52 +190,82 @@
 	return rowstore.Check{Table: o.opts.Table, Key: election.FenceKey, Version: o.opts.Version}
 }
 
-// nextBatch returns the next transaction, with the jobs and workers that it writes.
-func (o *Owner) nextBatch() (rowstore.Txn, []jobWrite, []workerWrite) {
-	var txn rowstore.Txn
-	var jobs []jobWrite
-	var workers []workerWrite
+// nextBatch returns the next transaction. It has as many jobs and workers as the limits
+// of the store allow; the order of the maps gives each of them its turn.
+func (o *Owner) nextBatch() batch {
+	b := batch{txn: rowstore.Txn{Checks: []rowstore.Check{o.fence()}}}
+	add := func(rows rowstore.Txn) bool {
+		if b.items() == o.batchLimit {
+			return false
+		}
+		if b.items() == 0 {
+			rows.Checks = append(rows.Checks, b.txn.Checks...)
+			b.txn = rows
+			return true
+		}
+		return b.txn.Append(rows)
+	}
 	for _, w := range o.workers {
-		if len(workers) >= writeBatchJobs || !w.rowOutdated() {
-			continue
+		if len(b.workers) == maxBatchWorkers {
+			break
 		}
-		key := workflow.WorkerPrefix + w.id
-		version := w.rowVersion
-		if !w.rowStored {
-			version = 0
+		if !w.rowOutdated() {
+			continue
 		}
-		txn.Checks = append(txn.Checks, rowstore.Check{Table: o.opts.Table, Key: key, Version: version})
-		if w.lost {
-			txn.Deletes = append(txn.Deletes, rowstore.Ref{Table: o.opts.Table, Key: key})
-		} else if value, err := json.Marshal(w.row()); err == nil {
-			txn.Puts = append(txn.Puts, rowstore.Put{Table: o.opts.Table, Key: key, Value: value})
+		if !add(o.workerRows(w)) {
+			return b
 		}
-		workers = append(workers, workerWrite{w, !w.lost, w.incarnation})
+		b.workers = append(b.workers, workerWrite{w, !w.lost, w.incarnation})
 	}
-	size := 0
 	for _, j := range o.jobs {
-		if j.progressGen == j.durableGen || j.record == nil {
+		if j.progressGen == j.durableGen || j.record == nil || j.unstorable {
 			continue
 		}
-		if len(jobs) >= writeBatchJobs || size > rowstore.MaxTxnBytes/2 {
-			break
-		}
-		value, err := json.Marshal(j.progress)
+		rows, err := o.progressRows(j)
 		if err != nil {
 			o.opts.Log.Event("progress_unwritable", "job", j.id, "err", err.Error())
 			continue
 		}
-		size += len(value)
-		key := workflow.ProgressPrefix + j.id
-		txn.Checks = append(txn.Checks, rowstore.Check{Table: o.opts.Table, Key: key, Version: j.progressVersion})
-		if j.progress.State.Final() && j.progress.State != workflow.StateCancelled && j.storedState == "" {
-			// Fails if the client was told before that the job is cancelled.
-			txn.Checks = append(txn.Checks, rowstore.Check{Table: o.opts.Table, Key: workflow.CancelPrefix + j.id})
+		if !add(rows) {
+			return b
 		}
+		b.jobs = append(b.jobs, jobWrite{j, j.progressGen, j.progress.State})
+	}
+	return b
+}
+
+// workerRows returns the entries that write or remove a worker's row.
+func (o *Owner) workerRows(w *worker) rowstore.Txn {
+	var txn rowstore.Txn
+	key := workflow.WorkerPrefix + w.id
+	version := w.rowVersion
+	if !w.rowStored {
+		version = 0
+	}
+	txn.Checks = append(txn.Checks, rowstore.Check{Table: o.opts.Table, Key: key, Version: version})
+	if w.lost {
+		txn.Deletes = append(txn.Deletes, rowstore.Ref{Table: o.opts.Table, Key: key})
+	} else if value, err := json.Marshal(w.row()); err == nil {
 		txn.Puts = append(txn.Puts, rowstore.Put{Table: o.opts.Table, Key: key, Value: value})
-		jobs = append(jobs, jobWrite{j, j.progressGen, j.progress.State})
 	}
-	return txn, jobs, workers
+	return txn
+}
+
+// progressRows returns the entries that write a job's progress.
+func (o *Owner) progressRows(j *job) (rowstore.Txn, error) {
+	var txn rowstore.Txn
+	value, err := json.Marshal(j.progress)
+	if err != nil {
+		return txn, err
+	}
+	key := workflow.ProgressPrefix + j.id
+	txn.Checks = append(txn.Checks, rowstore.Check{Table: o.opts.Table, Key: key, Version: j.progressVersion})
+	if j.progress.State.Final() && j.progress.State != workflow.StateCancelled && j.storedState == "" {
+		// Fails if the client was told before that the job is cancelled.
+		txn.Checks = append(txn.Checks, rowstore.Check{Table: o.opts.Table, Key: workflow.CancelPrefix + j.id})
+	}
+	txn.Puts = append(txn.Puts, rowstore.Put{Table: o.opts.Table, Key: key, Value: value})
+	return txn, nil
 }
 
 // resolveConflict applies the rows because of which a transaction failed.
--- a/internal/workflowowner/worker.go
+++ b/internal/workflowowner/worker.go
@@ -23,6 +23,8 @@
 	rowStored      bool
 	rowVersion     uint64
 	rowIncarnation int64
+	// rowRefused is set if the store has refused the row of this incarnation for good.
+	rowRefused bool
 	// awaitingReport is set for a worker with a row of an earlier owner that has not
 	// reported in this epoch.
 	awaitingReport bool
@@ -78,7 +80,7 @@
 	if w.lost {
 		return w.rowStored
 	}
-	return !w.rowCurrent()
+	return !w.rowCurrent() && !w.rowRefused
 }
 
 // endPoll ends the long poll of the agent's call.
@@ -312,6 +314,7 @@
 		o.opts.Log.Event("worker_restarted", "worker", w.id, "incarnation", args.Worker.Incarnation, "before", w.incarnation, "runs", len(w.runs))
 		o.loseRuns(w, "worker started anew")
 		w.incarnation, w.reported, w.lastEndSeq, w.durableEndSeq, w.callSeq, w.backoff = args.Worker.Incarnation, false, 0, 0, 0, failureBackoff{}
+		w.rowRefused = false
 		signal(o.wakePersist)
 	}
 	if w.callAgent == args.Agent && args.Seq <= w.callSeq {
