Verify a worker's end before its leave counts

What callers saw: a task was started on a second worker while it ran on a healthy one.

Cause: a leave names only the worker's ID. One that was held up by a partition arrived when the next incarnation ran under that ID; the agent reported that one as gone, and the owner started its tasks elsewhere at once.

Change: a leave makes the agent call the worker; only a refused connection or another incarnation shows its end. A worker that still answers 0.3 s later voids the leave, so that it does not excuse a later crash. The simulation and the soak deliver late messages.

--- a/internal/workflowagent/agent.go
+++ b/internal/workflowagent/agent.go
@@ -87,7 +87,7 @@
 	switch {
 	case old == nil || old.isGone() && old.incarnation == w.Incarnation && old.lastHeartbeatSeq() < seq || old.incarnation < w.Incarnation:
 		if old != nil {
-			old.markGone(false, "a newer incarnation has reported")
+			old.markGone("a newer incarnation has reported")
 		}
 		a.startSession(w, addr, seq)
 		a.opts.Log.Event("worker_found", "worker", w.ID, "incarnation", w.Incarnation, "addr", addr, "draining", w.Draining,
@@ -97,13 +97,14 @@
 	}
 }
 
-// WorkerLeft ends the session of a worker that has shut down.
+// WorkerLeft handles the leave of a worker. It names no incarnation, and may be a late one
+// of an earlier incarnation than that of the session.
 func (a *Agent) WorkerLeft(worker string) {
 	a.mu.Lock()
 	s := a.sessions[worker]
 	a.mu.Unlock()
 	if s != nil {
-		s.markGone(true, "the worker has left")
+		s.leaveReceived()
 	}
 }
 
--- a/internal/workflowagent/crash.go
+++ b/internal/workflowagent/crash.go
@@ -18,13 +18,13 @@
 }
 
 // recordEnd sets how and when the worker ended. s.mu must be held.
-func (s *session) recordEnd(announced bool) {
+func (s *session) recordEnd() {
 	s.endedAt = s.failedSince
 	if s.endedAt == 0 {
 		s.endedAt = s.agent.opts.Clock()
 	}
 	switch {
-	case announced || s.worker.Draining:
+	case s.leftRecently() || s.worker.Draining:
 		s.worker.End = workflowrpc.WorkerLeft
 	case s.listed:
 		s.worker.End = workflowrpc.WorkerCrashed
@@ -75,9 +75,10 @@
 	return false
 }
 
-// isEnding reports whether the worker has ended, or has just left a call unanswered.
+// isEnding reports whether the worker has ended, has just left a call unanswered, or has
+// not answered since a leave.
 func (s *session) isEnding() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.gone || s.failedSince != 0 && !s.silent
+	return s.gone || s.failedSince != 0 && !s.silent || s.leftRecently() && s.lastClockAt <= s.leaveAt
 }
--- /dev/null
+++ b/internal/workflowagent/leave_test.go
@@ -0,0 +1,62 @@
+package workflowagent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/parsleypier/parsleypier/internal/workflowrpc"
+)
+
+// TestLateLeaveDoesNotEndRunningWorker guards against a second run of a task: a leave that an
+// earlier incarnation sent arrives while the present one runs the task, drains or not.
+func TestLateLeaveDoesNotEndRunningWorker(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		withHarness(t, func(t *testing.T, h *harness) {
+			h.orderStart(testRun(1))
+			time.Sleep(time.Second)
+			if draining {
+				h.agent.Heartbeat(workflowrpc.Worker{ID: "w", Incarnation: 1, Draining: true}, "addr", 2)
+				time.Sleep(100 * time.Millisecond)
+			}
+			h.agent.WorkerLeft("w")
+			for range 30 {
+				time.Sleep(100 * time.Millisecond)
+				if r := h.owner.lastReport(); r.Worker.Gone || len(r.Runs) != 1 || r.Runs[0].State != workflowrpc.RunRunning {
+					t.Fatalf("draining %v: after the leave of an earlier incarnation the report is %+v, runs %+v", draining, r.Worker, r.Runs)
+				}
+			}
+		})
+	}
+}
+
+// TestLeftWorkerIsReportedAtOnce guards against tasks that wait for the end of the leases of
+// a worker that has left.
+func TestLeftWorkerIsReportedAtOnce(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		h.orderStart(testRun(1))
+		time.Sleep(time.Second)
+		h.agent.WorkerLeft("w")
+		h.worker.mu.Lock()
+		h.worker.crashed = true // its process ends once the leave is confirmed
+		h.worker.mu.Unlock()
+		time.Sleep(500 * time.Millisecond)
+		if w := h.owner.lastReport().Worker; !w.Gone || w.End != workflowrpc.WorkerLeft {
+			t.Errorf("reported worker %+v, want one that has left", w)
+		}
+	})
+}
+
+// TestLateLeaveDoesNotExcuseCrash guards against a task that crashes worker after worker: a
+// leave of an earlier incarnation made the crash of the present one look like a planned end.
+func TestLateLeaveDoesNotExcuseCrash(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		h.orderStart(testRun(1))
+		time.Sleep(time.Second)
+		h.agent.WorkerLeft("w")
+		time.Sleep(2 * holdWait)
+		h.crash()
+		if w := h.owner.lastReport().Worker; !w.Gone || w.End != workflowrpc.WorkerCrashed {
+			t.Errorf("reported worker %+v, want one that has crashed", w)
+		}
+	})
+}
--- a/internal/workflowagent/orders.go
+++ b/internal/workflowagent/orders.go
@@ -106,7 +106,7 @@
 		answer, err := s.api.Start(limited, call)
 		cancel()
 		if errors.Is(err, ErrOtherIncarnation) {
-			s.markGone(false, err.Error())
+			s.markGone(err.Error())
 			return
 		}
 		s.mu.Lock()
@@ -184,7 +184,7 @@
 			return true
 		}
 		if errors.Is(err, ErrOtherIncarnation) {
-			s.markGone(false, err.Error())
+			s.markGone(err.Error())
 			return false
 		}
 		retry.Sleep(ctx, retry.Jitter(2*retryDelay))
@@ -207,7 +207,7 @@
 			return true
 		}
 		if errors.Is(err, ErrOtherIncarnation) {
-			s.markGone(false, err.Error())
+			s.markGone(err.Error())
 			return false
 		}
 		if delay == retryDelay {
--- a/internal/workflowagent/session.go
+++ b/internal/workflowagent/session.go
@@ -89,6 +89,9 @@
 	// failedSince is when the first call failed since the last answer, endedAt when the
 	// worker ended; both are on the agent's clock, 0 for none.
 	failedSince, endedAt time.Duration
+	// leaveAt is when a leave under the worker's ID last arrived, on the agent's clock, 0
+	// for none.
+	leaveAt time.Duration
 	// refusedSince is when the worker's address began to refuse connections, zero if
 	// it does not.
 	refusedSince time.Time
@@ -162,16 +165,35 @@
 	}
 }
 
-// markGone records that this incarnation of the worker has ended. announced says that the
-// worker itself has reported its end.
-func (s *session) markGone(announced bool, why string) {
+// leaveReceived handles a leave under the worker's ID. Alone it does not show that this
+// incarnation has ended; the next calls to the worker do, which follow at once.
+func (s *session) leaveReceived() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gone {
+		return
+	}
+	s.leaveAt = s.agent.opts.Clock()
+	s.agent.opts.Log.Event("worker_leave", "worker", s.id, "incarnation", s.incarnation, "draining", s.worker.Draining, "runs", len(s.runs))
+	signal(s.holdNow)
+	s.cancelHold()
+}
+
+// leftRecently reports whether a leave has arrived so recently that an end of the worker
+// follows from it. s.mu must be held.
+func (s *session) leftRecently() bool {
+	return s.leaveAt != 0 && s.agent.opts.Clock()-s.leaveAt < leaveValidity
+}
+
+// markGone records that this incarnation of the worker has ended.
+func (s *session) markGone(why string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.gone {
 		return
 	}
 	s.gone = true
-	s.recordEnd(announced)
+	s.recordEnd()
 	s.agent.opts.Log.Event("worker_gone", "worker", s.id, "incarnation", s.incarnation, "end", s.worker.End, "why", why, "runs", len(s.runs),
 		"detectedAfterMs", (s.agent.opts.Clock() - s.endedAt).Milliseconds())
 	signal(s.reportNow)
@@ -196,7 +218,7 @@
 		epoch := s.agent.currentEpoch()
 		s.mu.Lock()
 		wait := holdWait
-		if !s.listed || s.confirmedFence < epoch || s.lastEndSeq > s.ackedEndSeq {
+		if !s.listed || s.confirmedFence < epoch || s.lastEndSeq > s.ackedEndSeq || s.leaveAt != 0 {
 			wait = 0
 		}
 		s.mu.Unlock()
@@ -206,7 +228,7 @@
 		}
 		if err := s.hold(ctx, wait); err != nil {
 			if errors.Is(err, ErrOtherIncarnation) || s.refusedTooLong() {
-				s.markGone(false, err.Error())
+				s.markGone(err.Error())
 				return
 			}
 			retry.Sleep(ctx, retry.Jitter(2*retryDelay))
@@ -287,17 +309,26 @@
 // sooner.
 const goneAfterRefused = 300 * time.Millisecond
 
-// expectedGoneAfterRefused applies to a worker that has never answered this process of the
-// agent. The process may be about to end, and a later one may not be told of the worker.
+// expectedGoneAfterRefused applies to a worker that has just left, and to one that has never
+// answered this process of the agent. The process may be about to end, and a later one may
+// not be told of the worker.
 const expectedGoneAfterRefused = 100 * time.Millisecond
 
+const (
+	// leaveValidity is how long after its leave a worker ends at the latest.
+	leaveValidity = 5 * time.Second
+	// lateLeaveAfter is how long after a leave an answer of the worker shows that an earlier
+	// incarnation has sent it. A worker that leaves ends once the leave is confirmed.
+	lateLeaveAfter = 300 * time.Millisecond
+)
+
 // refusedTooLong reports whether connections to the worker have been refused for so long
 // that its process counts as ended.
 func (s *session) refusedTooLong() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	limit := goneAfterRefused
-	if s.worker.Unconfirmed && !s.listed {
+	if s.worker.Unconfirmed && !s.listed || s.leftRecently() {
 		limit = expectedGoneAfterRefused
 	}
 	return !s.refusedSince.IsZero() && time.Since(s.refusedSince) >= limit
@@ -320,6 +351,10 @@
 	if clock > 0 {
 		s.lastClock, s.lastClockAt = clock, s.agent.opts.Clock()
 	}
+	if s.leaveAt != 0 && s.agent.opts.Clock()-s.leaveAt > lateLeaveAfter {
+		s.agent.opts.Log.Event("worker_leave_late", "worker", s.id, "incarnation", s.incarnation)
+		s.leaveAt = 0 // a later end of this incarnation does not follow from it
+	}
 }
 
 // workerClock returns a lower bound of the worker's clock at a time on the agent's
--- a/internal/workflowdaemon/sim_faults_test.go
+++ b/internal/workflowdaemon/sim_faults_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/parsleypier/parsleypier/internal/rowstorestub"
+	"github.com/parsleypier/parsleypier/internal/workflowrpc"
 )
 
 // injectFault injects a random fault for a few seconds and then repairs it.
@@ -52,9 +53,11 @@
 		}},
 		{"worker crashed", func(d time.Duration) {
 			w := s.randomWorker()
+			last := w.heartbeat()
 			w.crash()
 			s.sleep(d)
 			w.reboot()
+			s.deliverLateMessages(last)
 		}},
 		{"worker calls delayed", func(d time.Duration) {
 			s.eachWorker(func(w *simWorker) { w.lostCallShare = 0.2 })
@@ -81,6 +84,26 @@
 	k.do(d)
 }
 
+// faultLateMessages counts the deliveries of deliverLateMessages.
+const faultLateMessages = "late messages"
+
+// deliverLateMessages delivers a heartbeat and the leave of an earlier incarnation of a
+// worker, up to 4 s after the next one has started.
+func (s *sim) deliverLateMessages(last workflowrpc.Worker) {
+	s.sleep(time.Duration(s.lateRng.IntN(4000)) * time.Millisecond)
+	s.mu.Lock()
+	agent := s.agents[last.ID]
+	s.faultCounts[faultLateMessages]++
+	s.mu.Unlock()
+	if agent != nil {
+		agent.Heartbeat(last, last.ID, lateHeartbeatSeq)
+		agent.WorkerLeft(last.ID)
+	}
+}
+
+// lateHeartbeatSeq is above the numbers of all other heartbeats.
+const lateHeartbeatSeq = 1 << 40
+
 func (s *sim) injectStoreFault(f rowstorestub.Faults, d time.Duration) {
 	s.table.SetFaults(f)
 	s.sleep(d)
--- a/internal/workflowdaemon/sim_worker_test.go
+++ b/internal/workflowdaemon/sim_worker_test.go
@@ -72,6 +72,14 @@
 	return time.Duration(0.985*float64(time.Since(w.bootedAt))) + time.Second
 }
 
+// heartbeat returns what the present incarnation says of itself.
+func (w *simWorker) heartbeat() workflowrpc.Worker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	rack := "r" + string(w.id[1]/2)
+	return workflowrpc.Worker{ID: w.id, Incarnation: w.incarnation, Pool: "p", Rack: rack, Labels: []string{"k", rack}, Capacity: w.capacity}
+}
+
 func (w *simWorker) boot(now time.Time) {
 	w.incarnation, w.bootedAt, w.up, w.refusing = now.UnixMilli(), now, true, false
 	w.highestFence, w.leaseEnd, w.ackedSeq = 0, 0, 0
