Reject no run because of a truncated listing of ends

What callers saw: of the tasks that ended on one worker during an outage of the store, all beyond the first 500 ran a second time.

Cause: a worker lists 500 ends at a time, and none can be acknowledged during an outage. The agent took a run that was in neither list as unknown to the worker. Unanswered starts, starts rejected as ended, and the first report to a new owner had the same fault.

Change: a listing says whether it may be truncated. Runs are settled only by a complete one, and a new owner starts nothing of inherited jobs before each agent has seen one.

--- a/internal/workflowagent/agent_test.go
+++ b/internal/workflowagent/agent_test.go
@@ -40,6 +40,8 @@
 	lostStartReplies int
 	// stopDelay is how long a run goes on after its stop.
 	stopDelay time.Duration
+	// listLimit is the largest number of ends in a listing; 0 for no limit.
+	listLimit int
 }
 
 func (w *fakeWorker) clock() time.Duration { return time.Since(w.clockStart) + time.Second }
@@ -134,10 +136,11 @@
 		l.Running = append(l.Running, workflowrpc.Run{ID: id, State: workflowrpc.RunRunning})
 	}
 	for _, e := range w.ended {
-		if e.Seq > c.AckedEndSeq {
+		if e.Seq > c.AckedEndSeq && (w.listLimit == 0 || len(l.Ended) < w.listLimit) {
 			l.Ended = append(l.Ended, e)
 		}
 	}
+	l.Truncated = w.listLimit > 0 && len(l.Ended) == w.listLimit
 	return l, nil
 }
 
@@ -153,6 +156,8 @@
 	lastSync    workflowrpc.SyncArgs
 	// reportAgain is the value of SyncReply.ReportAgain.
 	reportAgain bool
+	// noted is the value of SyncReply.Noted.
+	noted uint64
 	// replyDelay delays the replies beyond the timeout of the calls. For the agent
 	// this has the effect of a pause of its process after it received the reply.
 	replyDelay time.Duration
@@ -186,7 +191,7 @@
 		o.lastSync = *sync
 	}
 	r := reply.(*workflowrpc.SyncReply)
-	r.Epoch, r.ReportAgain = o.epoch, o.reportAgain
+	r.Epoch, r.ReportAgain, r.Noted = o.epoch, o.reportAgain, o.noted
 	known := map[workflow.RunID]bool{}
 	for _, run := range sync.Runs {
 		known[run.ID] = true
--- a/internal/workflowagent/listing_test.go
+++ b/internal/workflowagent/listing_test.go
@@ -33,3 +33,109 @@
 		}
 	})
 }
+
+// endRuns makes the worker end runs 1 to n of the test task as done.
+func (w *fakeWorker) endRuns(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := range n {
+		w.end(testRun(i+1), workflow.EndDone)
+	}
+}
+
+// reportedState returns the state in which a run is reported; empty if it is not.
+func (h *harness) reportedState(id workflow.RunID) workflowrpc.RunState {
+	for _, r := range h.owner.lastReport().Runs {
+		if r.ID == id {
+			return r.State
+		}
+	}
+	return ""
+}
+
+// TestTruncatedListingRejectsNoRun guards against a second run of a task that has ended
+// behind more ends than the worker lists at a time, while none can be acknowledged.
+func TestTruncatedListingRejectsNoRun(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		const runs, limit = 11, 5
+		h.worker.mu.Lock()
+		h.worker.listLimit = limit
+		h.worker.mu.Unlock()
+		h.owner.mu.Lock()
+		for i := range runs {
+			h.owner.startOrders = append(h.owner.startOrders, workflowrpc.Start{ID: testRun(i + 1)})
+		}
+		h.owner.mu.Unlock()
+		time.Sleep(time.Second)
+		h.worker.endRuns(runs)
+		for noted := 0; noted <= runs; noted += limit {
+			h.owner.mu.Lock()
+			h.owner.noted = uint64(noted)
+			h.owner.mu.Unlock()
+			time.Sleep(3 * time.Second)
+			for i := range runs {
+				if state := h.reportedState(testRun(i + 1)); state == workflowrpc.RunRejected || i >= noted+limit && state != workflowrpc.RunRunning {
+					t.Fatalf("%d ends acknowledged: run %d is reported as %q", noted, i+1, state)
+				}
+			}
+		}
+		ends := h.owner.lastReport().Ends
+		if len(ends) != 1 || ends[0].ID != testRun(runs) {
+			t.Errorf("the last ends are reported as %+v, want that of run %d", ends, runs)
+		}
+	})
+}
+
+// TestStartRejectedAsEndedAwaitsItsEnd guards against a second run of a task whose end the
+// worker does not list yet: a restarted agent gets the order again, and the worker rejects it
+// since the run has ended there. An unanswered start is the same case.
+func TestStartRejectedAsEndedAwaitsItsEnd(t *testing.T) {
+	for _, unanswered := range []bool{false, true} {
+		withHarness(t, func(t *testing.T, h *harness) {
+			const runs = 4
+			h.worker.endRuns(runs)
+			h.worker.mu.Lock()
+			h.worker.listLimit = 2
+			h.worker.stopped[testRun(runs)] = true
+			if unanswered {
+				h.worker.unansweredCalls = maxStartAttempts + 1
+			}
+			h.worker.mu.Unlock()
+			h.orderStart(testRun(runs))
+			for range 30 {
+				time.Sleep(100 * time.Millisecond)
+				if state := h.reportedState(testRun(runs)); state == workflowrpc.RunRejected {
+					t.Fatalf("unanswered %v: the run is reported as rejected before its end was listed", unanswered)
+				}
+			}
+			h.owner.mu.Lock()
+			h.owner.noted = 2
+			h.owner.mu.Unlock()
+			time.Sleep(2 * time.Second)
+			if r := h.owner.lastReport(); len(r.Ends) != 2 || r.Ends[1].ID != testRun(runs) || h.reportedState(testRun(runs)) != "" {
+				t.Errorf("unanswered %v: reported ends %+v, runs %+v; want the end of the run", unanswered, r.Ends, r.Runs)
+			}
+		})
+	}
+}
+
+// TestEndsUnlistedIsReported guards against a new owner that takes the first listing of a
+// restarted agent for complete, and starts tasks that have ended behind it.
+func TestEndsUnlistedIsReported(t *testing.T) {
+	withRestartedAgent(t, "10.0.0.1:80", func(w *fakeWorker) {
+		w.endRuns(3)
+		w.listLimit = 2
+	}, func(t *testing.T, h *harness) {
+		time.Sleep(2 * time.Second)
+		if r := h.owner.lastReport(); !r.Worker.EndsUnlisted || len(r.Ends) != 2 {
+			t.Fatalf("reported %+v with %d ends, want EndsUnlisted", r.Worker, len(r.Ends))
+		}
+		h.owner.mu.Lock()
+		h.owner.noted = 2
+		h.owner.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		if r := h.owner.lastReport(); r.Worker.EndsUnlisted || len(r.Ends) != 1 {
+			t.Errorf("reported %+v with %d ends, want all listed", r.Worker, len(r.Ends))
+		}
+	})
+}
--- a/internal/workflowagent/orders.go
+++ b/internal/workflowagent/orders.go
@@ -145,19 +145,23 @@
 
 // rejectRun records that a run did not start, to be reported as rejected. If a start
 // call had no answer, the worker may have started the run or may still do so: the
-// run is then stopped first and a listing requested. If the listing has the run, it
-// is not rejected; its end will be listed.
+// run is then stopped first. Then, and if the worker rejected the start because the run has
+// ended there, a listing of all ends is requested. If a listing has the run or its end, the
+// run is not rejected.
 func (s *session) rejectRun(ctx context.Context, id workflow.RunID, r *localRun, reason string) {
 	s.mu.Lock()
 	uncertain := r.startUnanswered
 	s.mu.Unlock()
-	if uncertain && (!s.stopUntilAnswered(ctx, id) || !s.listUntilAnswered(ctx)) {
+	if uncertain && !s.stopUntilAnswered(ctx, id) {
+		return
+	}
+	if (uncertain || reason == ReasonEnded) && !s.listUntilComplete(ctx, id, r) {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r.state != workflowrpc.RunStarting {
-		return // the worker has started it; its end will be listed
+	if !s.isStarting(id, r) {
+		return
 	}
 	s.agent.opts.Log.Event("start_rejected", "run", id.String(), "job", id.Task.Job, "worker", s.id, "reason", reason)
 	r.state, r.reason = workflowrpc.RunRejected, reason
@@ -165,6 +169,11 @@
 	signal(s.reportNow)
 }
 
+// isStarting reports whether no listing has shown the run or its end. s.mu must be held.
+func (s *session) isStarting(id workflow.RunID, r *localRun) bool {
+	return s.runs[id] == r && r.state == workflowrpc.RunStarting
+}
+
 // stopRun stops a run. The worker lists its end.
 func (s *session) stopRun(ctx context.Context, id workflow.RunID, r *localRun) {
 	s.mu.Lock()
@@ -175,19 +184,26 @@
 	s.stopUntilAnswered(ctx, id)
 }
 
-// listUntilAnswered requests a listing until the worker answers. It returns false if
-// the worker is gone or ctx ends.
-func (s *session) listUntilAnswered(ctx context.Context) bool {
+// listUntilComplete requests listings until one has all ends that the worker keeps, or one
+// has shown the run or its end. It returns false if the worker is gone or ctx ends.
+func (s *session) listUntilComplete(ctx context.Context, id workflow.RunID, r *localRun) bool {
 	for ctx.Err() == nil && !s.isGone() {
-		err := s.hold(ctx, 0)
-		if err == nil {
-			return true
-		}
+		complete, err := s.hold(ctx, 0)
 		if errors.Is(err, ErrOtherIncarnation) {
 			s.markGone(err.Error())
 			return false
 		}
-		retry.Sleep(ctx, retry.Jitter(2*retryDelay))
+		s.mu.Lock()
+		done := err == nil && complete || !s.isStarting(id, r)
+		s.mu.Unlock()
+		if done {
+			return true
+		}
+		delay := retry.Jitter(2 * retryDelay)
+		if err == nil {
+			delay = relistDelay // the next ends are listed once these are acknowledged
+		}
+		retry.Sleep(ctx, delay)
 	}
 	return false
 }
--- a/internal/workflowagent/session.go
+++ b/internal/workflowagent/session.go
@@ -83,6 +83,7 @@
 	// short lease from that time.
 	lastStartSent time.Duration
 	listed        bool      // the worker has answered with a listing
+	allListed     bool      // a listing has had all ends that the worker keeps
 	lastAnswer    time.Time // when the worker last answered
 	silent        bool      // no answer for silentAfter
 	gone          bool      // this incarnation of the worker has ended
@@ -226,7 +227,7 @@
 		case <-s.holdNow:
 		default:
 		}
-		if err := s.hold(ctx, wait); err != nil {
+		if _, err := s.hold(ctx, wait); err != nil {
 			if errors.Is(err, ErrOtherIncarnation) || s.refusedTooLong() {
 				s.markGone(err.Error())
 				return
@@ -248,8 +249,9 @@
 
 // hold renews the leases of the worker's runs and applies the listing of the runs that
 // the worker returns, with one request. The worker may wait up to wait for the end of a
-// run before it answers; s.cancelHold cuts the request short.
-func (s *session) hold(ctx context.Context, wait time.Duration) error {
+// run before it answers; s.cancelHold cuts the request short. It reports whether the
+// listing has all ends that the worker keeps.
+func (s *session) hold(ctx context.Context, wait time.Duration) (complete bool, err error) {
 	epoch := s.agent.currentEpoch()
 	ctx, cancel := context.WithTimeout(ctx, wait+holdTimeout)
 	defer cancel()
@@ -261,10 +263,10 @@
 	l, err := s.api.Hold(ctx, call)
 	if err != nil {
 		s.holdFailed(err)
-		return err
+		return false, err
 	}
 	if l.Incarnation != 0 && l.Incarnation != s.incarnation {
-		return ErrOtherIncarnation
+		return false, ErrOtherIncarnation
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -272,14 +274,14 @@
 	if l.Rejected != "" {
 		// The worker has seen a higher token, of an owner unknown to this agent.
 		s.agent.opts.Log.Event("hold_rejected", "worker", s.id, "reason", l.Rejected, "epoch", epoch)
-		return errors.New("hold rejected: " + l.Rejected)
+		return false, errors.New("hold rejected: " + l.Rejected)
 	}
 	if epoch > s.confirmedFence {
 		s.confirmedFence = epoch
 		signal(s.reportNow)
 	}
 	s.applyListing(l, sent)
-	return nil
+	return !l.Truncated, nil
 }
 
 // holdFailed records a failed call of Hold, and reports the worker as silent once it
@@ -395,8 +397,8 @@
 
 // applyListing applies a listing that was requested at sent. s.mu must be held.
 func (s *session) applyListing(l Listing, sent time.Time) {
-	changed := !s.listed
-	s.listed = true
+	changed := !s.listed || !s.allListed && !l.Truncated
+	s.listed, s.allListed = true, s.allListed || !l.Truncated
 	present := map[workflow.RunID]bool{}
 	for _, r := range l.Running {
 		present[r.ID] = true
@@ -426,6 +428,9 @@
 		changed = true
 	}
 	for id, r := range s.runs {
+		if l.Truncated {
+			break // a missing run may have ended; its end is not listed yet
+		}
 		if present[id] || r.confirmedAt.IsZero() || !r.confirmedAt.Before(sent) || r.state == workflowrpc.RunRejected || r.state == workflowrpc.RunStarting {
 			continue
 		}
--- a/internal/workflowagent/worker.go
+++ b/internal/workflowagent/worker.go
@@ -71,6 +71,8 @@
 	Incarnation int64
 	Running     []workflowrpc.Run
 	Ended       []workflowrpc.End
+	// Truncated is set if the worker may have further ends after the listed ones.
+	Truncated bool
 }
 
 // Worker is the API of one incarnation of a worker. After an error the request may
--- a/internal/workflowdaemon/sim_test.go
+++ b/internal/workflowdaemon/sim_test.go
@@ -78,6 +78,9 @@
 	done   chan struct{}
 }
 
+// simListLimit is the number of ends that a simulated worker lists at a time.
+const simListLimit = 3
+
 const simConfig = `{"version":1}`
 
 // simDecode returns the configuration of the simulation for any document.
@@ -121,7 +124,7 @@
 		s.startEntry(fmt.Sprintf("entry%d", i))
 	}
 	for i := range 6 {
-		w := &simWorker{id: fmt.Sprintf("w%d", i), history: s.history, rng: rand.New(rand.NewPCG(seed, uint64(i)+2)), allWorkers: func() []*simWorker { return s.workers }}
+		w := &simWorker{id: fmt.Sprintf("w%d", i), listLimit: simListLimit, history: s.history, rng: rand.New(rand.NewPCG(seed, uint64(i)+2)), allWorkers: func() []*simWorker { return s.workers }}
 		w.boot(time.Now())
 		s.workers = append(s.workers, w)
 	}
--- a/internal/workflowdaemon/sim_worker_test.go
+++ b/internal/workflowdaemon/sim_worker_test.go
@@ -64,6 +64,9 @@
 	// kernel refuses connections.
 	refusing bool
 	reliable bool // no run fails by itself
+	// listLimit is the number of ends in a listing. It is small, so that a simulated outage
+	// of the store lasts longer than the ends that a worker lists.
+	listLimit int
 }
 
 // clock returns the worker's monotonic clock. It starts at 1 s, because agents ignore
@@ -385,7 +388,10 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	l := workflowagent.Listing{Answer: workflowagent.Answer{Clock: w.clock()}, Incarnation: w.incarnation, Ended: slices.Clone(w.unackedEnds)}
+	listed := min(len(w.unackedEnds), w.listLimit)
+	l := workflowagent.Listing{
+		Answer: workflowagent.Answer{Clock: w.clock()}, Incarnation: w.incarnation, Ended: slices.Clone(w.unackedEnds[:listed]), Truncated: listed == w.listLimit,
+	}
 	if w.refusing {
 		return workflowagent.Listing{}, errors.New("connection reset")
 	}
--- a/internal/workflowowner/takeover_test.go
+++ b/internal/workflowowner/takeover_test.go
@@ -115,3 +115,29 @@
 		}
 	})
 }
+
+// TestInheritedJobWaitsForUnlistedEnds guards against a second run of a task that has ended
+// on a worker behind more ends than it lists at a time: its restarted agent does not know of
+// the run, and the new owner neither.
+func TestInheritedJobWaitsForUnlistedEnds(t *testing.T) {
+	runOwner(t, func(r *harness) {
+		r.submit(testJob, newStep(1))
+		r.putWorkerRow("old", "10.0.0.2:80", 1)
+	}, func(r *harness) {
+		unlisted := func(a *workflowrpc.SyncArgs) { a.Worker.EndsUnlisted, a.Wait = true, 10*time.Millisecond }
+		for range 20 {
+			if reply := r.report("old", "10.0.0.2:80", 1, unlisted); len(reply.Start) > 0 {
+				t.Fatalf("starts %v before the worker has listed all ends", reply.Start)
+			}
+			if got := r.awaitStarts("w", "10.0.0.1:80", 1, 50*time.Millisecond); len(got) != 0 {
+				t.Fatalf("starts %v on another worker before all ends are listed", got)
+			}
+		}
+		done := workflowrpc.End{Seq: 1, ID: workflow.RunID{Task: workflow.TaskID{Job: testJob}, Attempt: 1}, Kind: workflow.EndDone}
+		r.report("old", "10.0.0.2:80", 1, func(a *workflowrpc.SyncArgs) { a.Ends = []workflowrpc.End{done} })
+		time.Sleep(time.Second)
+		if s := r.progress().State; s != workflow.StateCompleted {
+			t.Errorf("stored state %q after the last end was listed, want completed", s)
+		}
+	})
+}
--- a/internal/workflowowner/worker.go
+++ b/internal/workflowowner/worker.go
@@ -25,8 +25,8 @@
 	rowIncarnation int64
 	// rowRefused is set if the store has refused the row of this incarnation for good.
 	rowRefused bool
-	// awaitingReport is set for a worker with a row of an earlier owner that has not
-	// reported in this epoch.
+	// awaitingReport is set for a worker with a row of an earlier owner until its agent has
+	// reported all its runs and ends in this epoch.
 	awaitingReport bool
 	reported       bool
 	// lastCall is the time of the agent's last call, lastReply that of the last reply to
@@ -361,10 +361,11 @@
 			"expected", w.awaitingReport, "epoch", o.opts.Epoch)
 		o.removeReplaced(w)
 	}
-	if w.awaitingReport {
+	if w.awaitingReport && !args.Worker.EndsUnlisted {
+		w.awaitingReport = false
 		signal(o.wakeDecide) // inherited jobs may have waited for this report
 	}
-	w.reported, w.awaitingReport = true, false
+	w.reported = true
 	if args.Worker.Lapsed {
 		return nil
 	}
--- a/internal/workflowrpc/workflowrpc.go
+++ b/internal/workflowrpc/workflowrpc.go
@@ -43,6 +43,9 @@
 	// Unconfirmed is set until the worker has reported to this process of its agent.
 	// The description is then an earlier one, and no new runs may be started.
 	Unconfirmed bool
+	// EndsUnlisted is set until this process of the agent has seen all ends that the worker
+	// keeps. Runs that have ended may be missing from the report.
+	EndsUnlisted bool
 	// Gone is set if this incarnation of the worker has ended; nothing runs on it. End
 	// then says how.
 	Gone bool
