Divide the progress of a large job into rows

What callers saw: once some 2,000 tasks of one large job were done, no job at all was shown as completed, and restarted workers got no tasks.

Cause: the progress of a job was one row, which outgrew the 64 KiB that the store takes.

Change: a job of more than 200 tasks has a main row and a row for each 200 tasks, written when they change. Rows leave out what no longer counts, and checkpoints if they would be too large. Jobs of more than 100,000 tasks are refused when they are submitted. Rows of the version before stay readable and are converted.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -170,6 +170,9 @@
 	if queue, _, known := g.cachedState(id); known {
 		return g.checkDuplicate(q, queue, id)
 	}
+	if err := spec.CheckSize(); err != nil {
+		return verdict.Refuse(verdict.CodeTooLarge, "%v", err)
+	}
 	if g.opts.Mirror.StoreLost() && !g.storeAnswers(ctx, id) {
 		return rowstore.Unavailable(verdict.NotRun, "the store is out of reach").WithRetryAfter(outageRetryAfter)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -223,3 +224,27 @@
 		}
 	})
 }
+
+// TestJobThatCannotBeKeptIsRefused guards against accepting a job whose record or progress
+// the store would refuse, and against asking its client to try again.
+func TestJobThatCannotBeKeptIsRefused(t *testing.T) {
+	withTwoGateways(t, func(ctx context.Context, store *rowstorestub.Table, a, _ *Gateway) {
+		wide := workflow.Spec{Occurrences: 2 * workflow.MaxTotalTasks / workflow.MaxTasks, Steps: []workflow.Step{{Tasks: workflow.MaxTasks}}}
+		long := workflow.Spec{Steps: make([]workflow.Step, workflow.MaxSteps)}
+		for i := range long.Steps {
+			long.Steps[i] = workflow.Step{Tasks: 1, Label: strings.Repeat("l", rowstore.MaxRowBytes/workflow.MaxSteps)}
+		}
+		for name, spec := range map[string]workflow.Spec{"progress": wide, "record": long} {
+			err := a.Submit(ctx, testQueue, "x", jobID, spec)
+			if !verdict.HasCode(err, verdict.CodeTooLarge) || verdict.Of(err) != verdict.NotRun {
+				t.Errorf("%s: error %v, want too large and not run", name, err)
+			}
+		}
+		if err := a.Submit(ctx, testQueue, "x", jobID, workflow.Spec{Steps: []workflow.Step{{Tasks: workflow.MaxTasks}}}); err != nil {
+			t.Errorf("a job of %d tasks is refused: %v", workflow.MaxTasks, err)
+		}
+		if n := store.Refused(); n > 0 {
+			t.Errorf("the store refused %d calls", n)
+		}
+	})
+}
--- a/internal/workflow/crash.go
+++ b/internal/workflow/crash.go
@@ -113,7 +113,11 @@
 	if s.Steps[t.Step].Persistent && !c.AtStart {
 		return false
 	}
-	return p.partAt(t.Occurrence*len(s.Steps)+t.Step).addCrash(t.Index, c)
+	if !p.partAt(t.Occurrence*len(s.Steps)+t.Step).addCrash(t.Index, c) {
+		return false
+	}
+	p.changed(s, t)
+	return true
 }
 
 // givenUp reports whether a task of the step has reached the limit of crashes.
--- a/internal/workflow/progress.go
+++ b/internal/workflow/progress.go
@@ -23,8 +23,8 @@
 // StepID identifies a step of an occurrence.
 type StepID struct{ Occurrence, Step int }
 
-// Progress is the mutable state of a job: the value of a row that only the owner of the
-// deployment writes. Completed tasks, failed attempts and crashes are only added, never
+// Progress is the mutable state of a job: the values of rows that only the owner of the
+// deployment writes; see EncodeRow. Completed tasks, failed attempts and crashes are only added, never
 // removed, so that two versions can be merged.
 type Progress struct {
 	// Begun is set once any task has started.
@@ -34,11 +34,14 @@
 	Parts map[int]*StepProgress `json:"parts,omitempty"`
 	// EndedAt is the time of the final state as Unix time in milliseconds.
 	EndedAt int64 `json:"endedAtMs,omitempty"`
+
+	changedRows map[int]bool // rows of Parts with changes, see TakeChangedRows
 }
 
 // Clone returns a deep copy.
 func (p *Progress) Clone() *Progress {
 	c := *p
+	c.changedRows = maps.Clone(p.changedRows)
 	c.Parts = make(map[int]*StepProgress, len(p.Parts))
 	for k, v := range p.Parts {
 		c.Parts[k] = &StepProgress{Done: slices.Clone(v.Done), Failed: maps.Clone(v.Failed), Checkpoints: maps.Clone(v.Checkpoints), Crashes: maps.Clone(v.Crashes)}
@@ -136,18 +139,23 @@
 	return found
 }
 
+// MaxCheckpointBytes is the size of the longest checkpoint token that is kept. A task whose
+// tokens are longer starts from its last shorter one, or from the beginning.
+const MaxCheckpointBytes = 128
+
 // RecordEnd records the end of a run. It reports whether that added a result that must
 // be stored before the worker may forget the end.
 func (p *Progress) RecordEnd(s *Spec, id RunID, kind EndKind, checkpoint string) bool {
 	t := id.Task
 	step := &s.Steps[t.Step]
 	part := p.partAt(t.Occurrence*len(s.Steps) + t.Step)
-	if checkpoint != "" && step.Checkpoint {
-		i := t.Index
-		if step.Gang {
-			i = 0
-		}
-		part.setCheckpoint(i, checkpoint)
+	shared := t // the task under which the gang's results are recorded
+	if step.Gang {
+		shared.Index = 0
+	}
+	if step.Checkpoint && checkpoint != "" && len(checkpoint) <= MaxCheckpointBytes {
+		part.setCheckpoint(shared.Index, checkpoint)
+		p.changed(s, shared)
 	}
 	if step.Persistent {
 		return false
@@ -157,20 +165,22 @@
 		if part.IsDone(t.Index) {
 			return false
 		}
-		if step.Gang {
-			for i := range step.Tasks {
-				part.addDone(i)
-			}
-		} else {
+		if !step.Gang {
 			part.addDone(t.Index)
+			p.changed(s, t)
+			return true
+		}
+		for t.Index = range step.Tasks {
+			part.addDone(t.Index)
+			p.changed(s, t)
 		}
 		return true
 	case EndFailed:
-		i := t.Index
-		if step.Gang {
-			i = 0
+		if !part.addFailed(shared.Index, id.Attempt) {
+			return false
 		}
-		return part.addFailed(i, id.Attempt)
+		p.changed(s, shared)
+		return true
 	}
 	return false
 }
--- a/internal/workflow/rows.go
+++ b/internal/workflow/rows.go
@@ -7,7 +7,8 @@
 )
 
 // Key prefixes of the rows in the system's table. A job has a record and a cancellation
-// row, which an entry creates once, and a progress row, which only the owner writes.
+// row, which an entry creates once, and rows of its progress, which only the owner writes:
+// the main row and, for a large job, one for each chunk (see Progress.EncodeRow).
 const (
 	RecordPrefix = "job/"
 	// SpareRecordPrefix is the prefix of a record that could not be written to the partition
@@ -15,6 +16,8 @@
 	SpareRecordPrefix = "spare-job/"
 	CancelPrefix      = "cancel/"
 	ProgressPrefix    = "progress/"
+	// ProgressChunkPrefix is followed by the job's ID, a dot and the chunk.
+	ProgressChunkPrefix = "progress-chunk/"
 	// WorkerPrefix is the prefix of the rows of workers that may run tasks, EntryPrefix
 	// that of the rows of entries.
 	WorkerPrefix = "worker/"
--- a/internal/workflow/spec.go
+++ b/internal/workflow/spec.go
@@ -112,8 +112,20 @@
 	MaxSteps        = 100
 	MaxTasks        = 10_000
 	MaxOccurrences  = 1000
+	// MaxTotalTasks limits the tasks of all occurrences of a job that is accepted. The
+	// memory of each entry limits how large the progress of a job may be.
+	MaxTotalTasks = 100_000
 )
 
+// CheckSize returns an error if the progress of the job could not be kept. Unlike Validate,
+// it applies only to jobs that are submitted: larger ones may have been accepted before.
+func (s *Spec) CheckSize() error {
+	if n := s.TotalTasks(); n > MaxTotalTasks {
+		return fmt.Errorf("job has %d tasks in %d occurrences, at most %d are allowed", n, s.OccurrenceCount(), MaxTotalTasks)
+	}
+	return nil
+}
+
 // Validate returns an error that describes the first invalid value, or nil.
 func (s *Spec) Validate() error {
 	if len(s.Payload) > MaxPayloadBytes {
--- a/internal/workflowdaemon/entry.go
+++ b/internal/workflowdaemon/entry.go
@@ -242,7 +242,7 @@
 		e.elector.Observe(r)
 	case prefix == workflow.EntryPrefix:
 		e.entries.applyRow(r)
-	case prefix == workflow.ProgressPrefix || prefix == workflow.WorkerPrefix:
+	case prefix == workflow.ProgressPrefix || prefix == workflow.ProgressChunkPrefix || prefix == workflow.WorkerPrefix:
 		e.elector.NoticeOwnerWrite(r.Version)
 	}
 }
--- a/internal/workflowowner/collect.go
+++ b/internal/workflowowner/collect.go
@@ -14,8 +14,7 @@
 	// gcClockMargin is added to the time for which ended jobs are kept, to allow for
 	// differences between the clocks of entries.
 	gcClockMargin = 30 * time.Second
-	// gcBatchJobs is the maximum number of jobs in a transaction, of each of which it has up
-	// to two rows, each with a check and a delete.
+	// gcBatchJobs is the maximum number of jobs that are removed in a round.
 	gcBatchJobs = 15
 )
 
@@ -56,39 +55,71 @@
 
 // removeJobs removes the rows of jobs, the records first: a job with a record but no
 // progress would run again, while other rows without a record have no effect and are
-// removed in a later round.
+// removed in a later round. The main rows of the progress are last, since a later round finds
+// the jobs by them.
 func (o *Owner) removeJobs(ids []string) {
 	records := map[string][]string{} // by partition
-	var keys []string
+	var chunks, main []string
 	for _, id := range ids {
 		for _, prefix := range []string{workflow.RecordPrefix, workflow.SpareRecordPrefix} {
 			part := workflow.Partition(prefix + id)
 			records[part] = append(records[part], prefix+id)
 		}
-		keys = append(keys, workflow.CancelPrefix+id, workflow.ProgressPrefix+id)
+		chunks = append(chunks, o.chunkKeys(id)...)
+		main = append(main, workflow.CancelPrefix+id, workflow.ProgressKey(id, workflow.MainRow))
 	}
 	for _, part := range records {
-		if !o.removeRows(rowstore.Txn{}, part...) {
+		if !o.removeRows(rowstore.Txn{}, part) {
 			return
 		}
 	}
-	if o.removeRows(rowstore.Txn{Checks: []rowstore.Check{o.fence()}}, keys...) {
+	fenced := rowstore.Txn{Checks: []rowstore.Check{o.fence()}}
+	if o.removeRows(fenced, chunks) && o.removeRows(fenced, main) {
 		o.opts.Log.Event("rows_removed", "jobs", len(ids))
 	}
 }
 
-// removeRows adds the deletes of those rows that exist to a transaction and commits it.
-// It reports whether the rows are gone.
-func (o *Owner) removeRows(txn rowstore.Txn, keys ...string) bool {
-	for _, key := range keys {
-		if row, ok := o.opts.Mirror.Get(key); ok {
-			txn.Checks = append(txn.Checks, rowstore.Check{Table: o.opts.Table, Key: row.Key, Version: row.Version})
-			txn.Deletes = append(txn.Deletes, rowstore.Ref{Table: o.opts.Table, Key: row.Key})
+// chunkKeys returns the keys of the rows of a job's progress beside its main row.
+func (o *Owner) chunkKeys(id string) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var keys []string
+	if j := o.jobs[id]; j != nil {
+		for row, r := range j.rows {
+			if row != workflow.MainRow && r.version > 0 {
+				keys = append(keys, workflow.ProgressKey(id, row))
+			}
 		}
 	}
-	if len(txn.Deletes) == 0 {
-		return true
+	return keys
+}
+
+// removeRows deletes those rows that exist, in transactions with the given checks that each
+// keep the limits of the store. It reports whether the rows are gone.
+func (o *Owner) removeRows(checks rowstore.Txn, keys []string) bool {
+	txn := checks
+	for _, key := range keys {
+		row, ok := o.opts.Mirror.Get(key)
+		if !ok {
+			continue
+		}
+		entries := rowstore.Txn{
+			Checks:  []rowstore.Check{{Table: o.opts.Table, Key: row.Key, Version: row.Version}},
+			Deletes: []rowstore.Ref{{Table: o.opts.Table, Key: row.Key}},
+		}
+		if txn.Append(entries) {
+			continue
+		}
+		if !o.commitRemoval(txn) {
+			return false
+		}
+		txn = checks
+		txn.Append(entries)
 	}
+	return len(txn.Deletes) == 0 || o.commitRemoval(txn)
+}
+
+func (o *Owner) commitRemoval(txn rowstore.Txn) bool {
 	ctx, cancel := context.WithTimeout(o.ctx, writeTimeout)
 	defer cancel()
 	if _, err := o.opts.Store.Commit(ctx, txn); err != nil {
--- a/internal/workflowowner/job.go
+++ b/internal/workflowowner/job.go
@@ -20,8 +20,15 @@
 	inherited bool
 	seenAt    time.Duration
 
-	progress        *workflow.Progress
-	progressVersion uint64
+	progress *workflow.Progress
+	// rows has the rows of the progress that exist or have to be written, by chunk or
+	// workflow.MainRow.
+	rows map[int]*progressRow
+	// mainMarked is what the main row has beside its parts, once it is written.
+	mainMarked mainRowContent
+	// legacyParts is set while the main row has the parts of a job whose chunks have rows of
+	// their own, as an earlier version of this program wrote it.
+	legacyParts bool
 	// progressGen counts the changes of progress that have to be stored, durableGen is
 	// the generation that is stored. storedState is the final state that is stored.
 	progressGen, durableGen uint64
@@ -91,6 +98,7 @@
 	j.advice, j.rejectedStarts = map[workflow.StepID]*advice{}, map[workflow.StepID]rejectionBackoff{}
 	j.avoid, j.readySince, j.waitReasons = map[string]bool{}, map[workflow.StepID]time.Duration{}, map[waitingTasks]string{}
 	j.isolationWait = map[workflow.StepID]time.Duration{}
+	j.adoptLegacyParts()
 }
 
 // crashesStored reports whether all known crashes under the job are stored.
@@ -103,7 +111,7 @@
 
 // markChanged marks the job's progress as changed since it was stored.
 func (o *Owner) markChanged(j *job) {
-	j.progressGen++
+	j.markRows()
 	signal(o.wakePersist)
 }
 
--- a/internal/workflowowner/owner.go
+++ b/internal/workflowowner/owner.go
@@ -151,8 +151,8 @@
 	adviceInFlight bool
 	wakeDecide     chan struct{} // signals decisionLoop
 	wakePersist    chan struct{} // signals persistLoop
-	// batchLimit limits the jobs and workers of the next transaction, after one that the
-	// store has refused.
+	// batchLimit limits the rows of the next transaction, after one that the store has
+	// refused.
 	batchLimit int
 	written    chan struct{} // closed and replaced after each successful write
 }
@@ -227,6 +227,7 @@
 	o.opts.Log.Event("owner_loaded", "epoch", o.opts.Epoch, "version", o.opts.Version, "jobs", len(o.jobs), "workersExpected", expected)
 	o.announce(agents)
 	signal(o.wakeDecide)
+	signal(o.wakePersist)
 }
 
 // Observe applies changed rows of the table, as reported by the mirror.
@@ -260,7 +261,13 @@
 			o.jobs[name] = &job{id: name, cancelled: true}
 		}
 	case workflow.ProgressPrefix:
-		o.observeProgress(name, r)
+		o.observeProgress(name, workflow.MainRow, r)
+	case workflow.ProgressChunkPrefix:
+		if id, chunk, err := workflow.ParseChunkName(name); err != nil {
+			o.opts.Log.Event("progress_row_unreadable", "job", name, "version", r.Version, "err", err.Error())
+		} else {
+			o.observeProgress(id, chunk, r)
+		}
 	case workflow.WorkerPrefix:
 		o.observeWorker(name, r)
 	}
@@ -337,10 +344,14 @@
 		"worth", value.Worth, "lateWorth", value.LateWorth, "lateFactor", lateDeadlineFactor, "pathMs", path.Milliseconds(), "shape", shape)
 }
 
-func (o *Owner) observeProgress(id string, r rowstore.Row) {
+// observeProgress applies a row of a job's progress, of a chunk or workflow.MainRow.
+func (o *Owner) observeProgress(id string, row int, r rowstore.Row) {
 	j := o.jobs[id]
 	if r.Deleted {
-		if j != nil && j.record == nil {
+		if j != nil && r.Version > j.row(row).version {
+			j.row(row).version = 0
+		}
+		if j != nil && j.record == nil && row == workflow.MainRow {
 			delete(o.jobs, id)
 		}
 		return
@@ -349,21 +360,24 @@
 		j = &job{id: id}
 		o.jobs[id] = j
 	}
-	if r.Version <= j.progressVersion {
+	if r.Version <= j.row(row).version {
 		return
 	}
 	p := &workflow.Progress{}
 	if err := json.Unmarshal(r.Value, p); err != nil {
-		o.opts.Log.Event("progress_row_unreadable", "job", id, "version", r.Version)
+		o.opts.Log.Event("progress_row_unreadable", "job", id, "row", row, "version", r.Version)
 		return
 	}
-	j.progressVersion = r.Version
+	j.row(row).version = r.Version
 	if j.progress == nil {
-		j.progress = p
-	} else {
-		j.progress.Merge(p)
+		j.progress = &workflow.Progress{}
+	}
+	j.progress.Merge(p)
+	if row == workflow.MainRow {
+		j.storedState, j.mainMarked = p.State, mainRowContent{p.Begun, p.State, p.EndedAt}
+		j.legacyParts = len(p.Parts) > 0
+		j.adoptLegacyParts()
 	}
-	j.storedState = p.State
 	if j.active() {
 		o.finishIfDecided(j) // the rows of two owners together may decide what neither does
 	}
--- a/internal/workflowowner/persist.go
+++ b/internal/workflowowner/persist.go
@@ -16,8 +16,8 @@
 
 // Limits of the owner's writes.
 const (
-	// maxBatchItems is the maximum number of jobs and workers in a transaction, which the
-	// limits of the store reduce further. maxBatchWorkers leaves room for jobs.
+	// maxBatchItems is the maximum number of rows in a transaction, which the limits of the
+	// store reduce further. maxBatchWorkers leaves room for jobs.
 	maxBatchItems   = 50
 	maxBatchWorkers = 20
 	writeTimeout    = 2500 * time.Millisecond
@@ -46,13 +46,6 @@
 	}
 }
 
-// jobWrite is the write of a job's progress in a transaction.
-type jobWrite struct {
-	job         *job
-	progressGen uint64
-	state       workflow.State
-}
-
 // workerWrite is the write or the removal of a worker's row in a transaction.
 type workerWrite struct {
 	worker      *worker
@@ -60,14 +53,14 @@
 	incarnation int64
 }
 
-// batch is a transaction of the owner with the jobs and workers that it writes.
+// batch is a transaction of the owner with the rows of jobs and workers that it writes.
 type batch struct {
-	txn     rowstore.Txn
-	jobs    []jobWrite
-	workers []workerWrite
+	txn      rowstore.Txn
+	progress []progressWrite
+	workers  []workerWrite
 }
 
-func (b *batch) items() int { return len(b.jobs) + len(b.workers) }
+func (b *batch) rows() int { return len(b.progress) + len(b.workers) }
 
 // writeBatch writes one transaction and reports whether there may be more to write.
 func (o *Owner) writeBatch() (bool, error) {
@@ -79,7 +72,7 @@
 	b := o.nextBatch()
 	clock := o.opts.Clock()
 	o.mu.Unlock()
-	if b.items() == 0 {
+	if b.rows() == 0 {
 		return false, nil
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, writeTimeout)
@@ -92,21 +85,24 @@
 	var conflict *rowstore.Conflict
 	switch {
 	case errors.As(err, &conflict):
-		o.opts.Log.Event("write_conflict", "jobs", len(b.jobs), "workers", len(b.workers), "rows", len(conflict.Rows))
+		o.opts.Log.Event("write_conflict", "progress", len(b.progress), "workers", len(b.workers), "rows", len(conflict.Rows))
 		o.resolveConflict(b.txn, conflict)
 		return o.opts.Authority(), nil
 	case rowstore.RefusedForGood(err):
 		o.handleRefusal(b, err)
 		return true, nil
 	case err != nil:
-		o.opts.Log.Event("write_failed", "jobs", len(b.jobs), "workers", len(b.workers), "err", err.Error(),
+		o.opts.Log.Event("write_failed", "progress", len(b.progress), "workers", len(b.workers), "err", err.Error(),
 			"verdict", verdict.Of(err).String(), "afterMs", time.Since(sent).Milliseconds())
 		return true, err
 	}
 	o.opts.OnFencedWrite(o.opts.Epoch, clock)
 	o.batchLimit = min(2*o.batchLimit, maxBatchItems)
-	for _, wr := range b.jobs {
-		wr.job.progressVersion, wr.job.storedState = version, wr.state
+	for _, wr := range b.progress {
+		wr.job.row(wr.row).version = version
+		if wr.row == workflow.MainRow {
+			wr.job.storedState = wr.state
+		}
 		o.recordDurable(wr)
 	}
 	for _, wr := range b.workers {
@@ -122,15 +118,14 @@
 	return true, nil
 }
 
-// recordDurable applies that a job's progress needs no further write up to a generation.
-func (o *Owner) recordDurable(wr jobWrite) {
+// recordDurable applies that a row of a job's progress needs no further write up to a
+// generation.
+func (o *Owner) recordDurable(wr progressWrite) {
 	if !wr.job.crashesStored() {
 		signal(o.wakeDecide) // tasks may have waited for this write
 	}
-	wr.job.durableGen = wr.progressGen
-	if wr.state.Final() {
-		wr.job.progress.State = wr.state // a cancellation that arrived during the write is too late
-	}
+	wr.stored()
+	wr.job.updateDurable()
 }
 
 // releaseEnds lets the workers forget the ends that have become durable, and wakes calls
@@ -151,10 +146,10 @@
 // Smaller ones follow, until the item is found that the store does not take. That one is
 // not sent again unchanged, so that it holds up no other.
 func (o *Owner) handleRefusal(b batch, err error) {
-	o.opts.Log.Event("write_refused", "jobs", len(b.jobs), "workers", len(b.workers), "entries", b.txn.Entries(), "bytes", b.txn.Size(), "err", err.Error())
+	o.opts.Log.Event("write_refused", "progress", len(b.progress), "workers", len(b.workers), "entries", b.txn.Entries(), "bytes", b.txn.Size(), "err", err.Error())
 	refusedWrites.Add(1)
-	if b.items() > 1 {
-		o.batchLimit = b.items() / 2
+	if b.rows() > 1 {
+		o.batchLimit = b.rows() / 2
 		return
 	}
 	for _, wr := range b.workers {
@@ -164,8 +159,8 @@
 		}
 		wr.worker.rowRefused = wr.worker.incarnation == wr.incarnation
 	}
-	for _, wr := range b.jobs {
-		o.opts.Log.Event("progress_refused", "job", wr.job.id, "state", string(wr.state))
+	for _, wr := range b.progress {
+		o.opts.Log.Event("progress_refused", "job", wr.job.id, "row", wr.row, "state", string(wr.state))
 		if !wr.state.Final() {
 			o.finish(wr.job, workflow.StateFailed) // the row of an ended job is the smallest one
 			continue
@@ -190,20 +185,20 @@
 	return rowstore.Check{Table: o.opts.Table, Key: election.FenceKey, Version: o.opts.Version}
 }
 
-// nextBatch returns the next transaction. It has as many jobs and workers as the limits
+// nextBatch returns the next transaction. It has as many rows as the limits
 // of the store allow; the order of the maps gives each of them its turn.
 func (o *Owner) nextBatch() batch {
 	b := batch{txn: rowstore.Txn{Checks: []rowstore.Check{o.fence()}}}
-	add := func(rows rowstore.Txn) bool {
-		if b.items() == o.batchLimit {
+	add := func(entries rowstore.Txn) bool {
+		if b.rows() == o.batchLimit {
 			return false
 		}
-		if b.items() == 0 {
-			rows.Checks = append(rows.Checks, b.txn.Checks...)
-			b.txn = rows
+		if b.rows() == 0 {
+			entries.Checks = append(entries.Checks, b.txn.Checks...)
+			b.txn = entries
 			return true
 		}
-		return b.txn.Append(rows)
+		return b.txn.Append(entries)
 	}
 	for _, w := range o.workers {
 		if len(b.workers) == maxBatchWorkers {
@@ -212,7 +207,7 @@
 		if !w.rowOutdated() {
 			continue
 		}
-		if !add(o.workerRows(w)) {
+		if !add(o.workerEntries(w)) {
 			return b
 		}
 		b.workers = append(b.workers, workerWrite{w, !w.lost, w.incarnation})
@@ -221,21 +216,23 @@
 		if j.progressGen == j.durableGen || j.record == nil || j.unstorable {
 			continue
 		}
-		rows, err := o.progressRows(j)
-		if err != nil {
-			o.opts.Log.Event("progress_unwritable", "job", j.id, "err", err.Error())
-			continue
-		}
-		if !add(rows) {
-			return b
+		for _, row := range j.unstoredRows() {
+			entries, err := o.progressEntries(j, row)
+			if err != nil {
+				o.opts.Log.Event("progress_unwritable", "job", j.id, "row", row, "err", err.Error())
+				continue
+			}
+			if !add(entries) {
+				return b
+			}
+			b.progress = append(b.progress, progressWrite{j, row, j.progressGen, j.progress.State})
 		}
-		b.jobs = append(b.jobs, jobWrite{j, j.progressGen, j.progress.State})
 	}
 	return b
 }
 
-// workerRows returns the entries that write or remove a worker's row.
-func (o *Owner) workerRows(w *worker) rowstore.Txn {
+// workerEntries returns the entries that write or remove a worker's row.
+func (o *Owner) workerEntries(w *worker) rowstore.Txn {
 	var txn rowstore.Txn
 	key := workflow.WorkerPrefix + w.id
 	version := w.rowVersion
@@ -251,23 +248,6 @@
 	return txn
 }
 
-// progressRows returns the entries that write a job's progress.
-func (o *Owner) progressRows(j *job) (rowstore.Txn, error) {
-	var txn rowstore.Txn
-	value, err := json.Marshal(j.progress)
-	if err != nil {
-		return txn, err
-	}
-	key := workflow.ProgressPrefix + j.id
-	txn.Checks = append(txn.Checks, rowstore.Check{Table: o.opts.Table, Key: key, Version: j.progressVersion})
-	if j.progress.State.Final() && j.progress.State != workflow.StateCancelled && j.storedState == "" {
-		// Fails if the client was told before that the job is cancelled.
-		txn.Checks = append(txn.Checks, rowstore.Check{Table: o.opts.Table, Key: workflow.CancelPrefix + j.id})
-	}
-	txn.Puts = append(txn.Puts, rowstore.Put{Table: o.opts.Table, Key: key, Value: value})
-	return txn, nil
-}
-
 // resolveConflict applies the rows because of which a transaction failed.
 func (o *Owner) resolveConflict(txn rowstore.Txn, conflict *rowstore.Conflict) {
 	current := map[string]rowstore.Row{}
@@ -289,13 +269,10 @@
 		prefix, name := workflow.SplitKey(c.Key)
 		switch prefix {
 		case workflow.ProgressPrefix:
-			if j := o.jobs[name]; j != nil {
-				if exists {
-					o.observeProgress(name, r)
-				} else {
-					j.progressVersion = 0
-				}
-				j.progressGen++
+			o.resolveProgressConflict(name, workflow.MainRow, r, exists)
+		case workflow.ProgressChunkPrefix:
+			if id, chunk, err := workflow.ParseChunkName(name); err == nil {
+				o.resolveProgressConflict(id, chunk, r, exists)
 			}
 		case workflow.CancelPrefix:
 			if j := o.jobs[name]; j != nil && exists {
