Refuse jobs whose number of tasks overflows

What callers saw: after one job of 2^63 - 1 tasks each owner was killed over its memory.

Cause: Validate limited the sum of the tasks of all steps, which overflowed.

Change: each step is limited, also in stored records. New jobs with resources or times that overflow when they are added up are refused.

--- a/internal/workflow/chunk_test.go
+++ b/internal/workflow/chunk_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"reflect"
 	"strings"
 	"testing"
@@ -165,6 +166,10 @@
 		{"at the limit", Spec{Occurrences: MaxTotalTasks / MaxTasks, Steps: []Step{{Tasks: MaxTasks}}}, true},
 		{"above the limit", Spec{Occurrences: MaxTotalTasks/MaxTasks + 1, Steps: []Step{{Tasks: MaxTasks}}}, false},
 		{"many occurrences of many steps", Spec{Occurrences: MaxOccurrences, Steps: make([]Step, MaxSteps)}, false},
+		{"more memory than can be added up", Spec{Steps: []Step{{Need: Resources{MemoryMB: math.MaxInt}}}}, false},
+		{"estimate above the longest duration", Spec{Steps: []Step{{Estimate: math.MaxInt64}}}, false},
+		{"interval above the longest duration", Spec{Steps: []Step{{}}, Occurrences: 2, Interval: math.MaxInt64}, false},
+		{"first time of today", Spec{Steps: []Step{{}}, Occurrences: 2, FirstAt: 1_796_499_357_001, Interval: 1000}, true},
 	} {
 		for i := range c.spec.Steps {
 			c.spec.Steps[i].Tasks = max(c.spec.Steps[i].Tasks, 2)
--- a/internal/workflow/spec.go
+++ b/internal/workflow/spec.go
@@ -117,9 +117,22 @@
 	MaxTotalTasks = 100_000
 )
 
-// CheckSize returns an error if the progress of the job could not be kept. Unlike Validate,
-// it applies only to jobs that are submitted: larger ones may have been accepted before.
+// maxValue limits resources and times, so that sums and products of them do not overflow.
+const maxValue = 1 << 40
+
+// CheckSize returns an error if the job could not be kept or is larger than anything that can
+// be planned. Unlike Validate, it applies only to jobs that are submitted: larger ones may
+// have been accepted before.
 func (s *Spec) CheckSize() error {
+	for i := range s.Steps {
+		st := &s.Steps[i]
+		if max(int64(st.Need.CPUMilli), int64(st.Need.MemoryMB), int64(st.Need.GPUs), int64(st.Estimate), int64(st.Target)) > maxValue {
+			return fmt.Errorf("step %d has a value above %d", i, int64(maxValue))
+		}
+	}
+	if s.Interval > maxValue || s.FirstAt > 4*maxValue || s.FirstAt < -maxValue {
+		return errors.New("the first time or the interval is out of range")
+	}
 	if n := s.TotalTasks(); n > MaxTotalTasks {
 		return fmt.Errorf("job has %d tasks in %d occurrences, at most %d are allowed", n, s.OccurrenceCount(), MaxTotalTasks)
 	}
@@ -140,8 +153,8 @@
 	tasks := 0
 	for i := range s.Steps {
 		st := &s.Steps[i]
-		if st.Tasks < 1 {
-			return fmt.Errorf("step %d has no tasks", i)
+		if st.Tasks < 1 || st.Tasks > MaxTasks { // their sum must not overflow
+			return fmt.Errorf("step %d has %d tasks, 1 to %d are allowed", i, st.Tasks, MaxTasks)
 		}
 		if st.Need.CPUMilli < 0 || st.Need.MemoryMB < 0 || st.Need.GPUs < 0 || st.Estimate < 0 ||
 			st.MaxPerWorker < 0 || st.MaxUnavailable < 0 || st.Target < 0 {
--- a/internal/workflow/workflow_test.go
+++ b/internal/workflow/workflow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"reflect"
 	"testing"
 
@@ -106,8 +107,8 @@
 	})
 }
 
-// TestValidate guards against accepting jobs that can never complete, or that exceed
-// the storage limits.
+// TestValidate guards against accepting jobs that can never complete, that exceed
+// the storage limits, or whose number of tasks overflows and exhausts the owner's memory.
 func TestValidate(t *testing.T) {
 	for name, s := range map[string]Spec{
 		"no steps":       {},
@@ -115,8 +116,11 @@
 		"later step":     {Steps: []Step{{Tasks: 1, After: []int{0}}}},
 		"negative":       {Steps: []Step{{Tasks: 1, Need: Resources{GPUs: -1}}}},
 		"too many tasks": {Steps: []Step{{Tasks: MaxTasks + 1}}},
-		"long payload":   {Payload: string(make([]byte, MaxPayloadBytes+1)), Steps: []Step{{Tasks: 1}}},
-		"occurrences":    {Steps: []Step{{Tasks: 1}}, Occurrences: -1},
+		"no limit":       {Steps: []Step{{Tasks: math.MaxInt}}},
+		// The sum of the tasks overflows.
+		"two without limit": {Steps: []Step{{Tasks: math.MaxInt}, {Tasks: math.MaxInt}, {Tasks: 3}}},
+		"long payload":      {Payload: string(make([]byte, MaxPayloadBytes+1)), Steps: []Step{{Tasks: 1}}},
+		"occurrences":       {Steps: []Step{{Tasks: 1}}, Occurrences: -1},
 	} {
 		if s.Validate() == nil {
 			t.Errorf("%s: spec accepted, want an error", name)
