Report the end of a worker after the reply to an earlier report

Cause: the agent's session of a worker that has ended was over with the reply to any report, also to one that was sent before the end. The owner was then not told of it.

Change: only the reply to a report of the end is its acknowledgement.

Evidence: without the comparison TestReplyToEarlierReportDoesNotEndSession: the session ends although the owner has not been told of the end It passes now.

--- a/internal/workflowagent/crash_test.go
+++ b/internal/workflowagent/crash_test.go
@@ -134,3 +134,21 @@
 		}
 	})
 }
+
+// TestReplyToEarlierReportDoesNotEndSession guards against the end of a worker that is never
+// reported, because the reply to a report from before it arrives first.
+func TestReplyToEarlierReportDoesNotEndSession(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		s := newSession(h.agent, workflowrpc.Worker{ID: "other", Incarnation: 1}, "addr", 1)
+		s.markGone("a test")
+		reply := func(seq uint64, gone bool) bool {
+			return s.processResult(t.Context(), syncResult{seq: seq, target: "owner", gone: gone, reply: &workflowrpc.SyncReply{Epoch: 3}})
+		}
+		if reply(1, false) {
+			t.Error("the session ends although the owner has not been told of the end")
+		}
+		if !reply(2, true) {
+			t.Error("the session goes on although the owner has been told of the end")
+		}
+	})
+}
--- a/internal/workflowagent/sync.go
+++ b/internal/workflowagent/sync.go
@@ -29,6 +29,7 @@
 	seq    uint64
 	sent   time.Duration // on the agent's clock
 	target string
+	gone   bool // the call has reported that the worker has ended
 	reply  *workflowrpc.SyncReply
 	err    error
 }
@@ -104,7 +105,7 @@
 // callOwner makes one call to the owner, or to an entry if no owner is known. It
 // sleeps before it returns an error.
 func (s *session) callOwner(ctx context.Context, args *workflowrpc.SyncArgs) syncResult {
-	r := syncResult{seq: args.Seq, sent: s.agent.opts.Clock(), target: s.agent.syncTarget(), reply: &workflowrpc.SyncReply{}}
+	r := syncResult{seq: args.Seq, gone: args.Worker.Gone, sent: s.agent.opts.Clock(), target: s.agent.syncTarget(), reply: &workflowrpc.SyncReply{}}
 	if r.target == "" {
 		r.err = errors.New("no entry is known")
 		s.agent.callFailed("", r.err)
@@ -139,7 +140,8 @@
 	s.processedSeq = r.seq
 	s.ownerContact = max(s.ownerContact, r.sent)
 	if s.gone {
-		return !r.reply.ReportAgain
+		// A call that was sent before the end does not tell the owner of it.
+		return r.gone && !r.reply.ReportAgain
 	}
 	s.applyReply(ctx, r.reply, r.sent)
 	return false
