Make the stubs refuse, page and delay as the platform's pages say

The four faults of the review had one thing in common: no stub kept the limits of the platform's pages, so that no test could show them.

Result: go test of the changed packages passes.

--- a/internal/rowstorestub/rowstorestub.go
+++ b/internal/rowstorestub/rowstorestub.go
@@ -1,12 +1,11 @@
 // Package rowstorestub is an in-memory implementation of rowstore.Store, a
 // transactional table with a change feed, for tests. It can inject outages, lost
 // responses, writes that take effect late, refusal of single processes and loss of
-// the feed's history.
+// the feed's history. It refuses and pages as the users' store does, see limits.go.
 package rowstorestub
 
 import (
 	"context"
-	"encoding/base64"
 	"slices"
 	"strings"
 	"sync"
@@ -46,8 +45,15 @@
 	version        uint64
 	faults         Faults
 	commitCount    int
-	refused        int           // transactions that exceeded a limit
-	changed        chan struct{} // closed and replaced after each change of rows
+	refused        int                  // transactions that exceeded a limit
+	changed        chan struct{}        // closed and replaced after each change of rows
+	tables         map[string]bool      // that have had rows
+	writes, reads  callCount            // of the present second
+	busyUntil      map[string]time.Time // when each partition has applied its transactions
+	// Rates limits the calls; no rate is limited by default. ReadOnly has the tables that
+	// only Put may write. Both must be set before use.
+	Rates    Rates
+	ReadOnly map[string]bool
 	// Partition returns the partition of a row; nil means a single partition. It
 	// must be set before use. Transactions over several partitions are refused.
 	Partition func(key string) string
@@ -55,7 +61,7 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{rows: map[rowstore.Ref]rowstore.Row{}, changed: make(chan struct{})}
+	return &Table{rows: map[rowstore.Ref]rowstore.Row{}, changed: make(chan struct{}), tables: map[string]bool{}, busyUntil: map[string]time.Time{}}
 }
 
 // SetFaults replaces the injected faults.
@@ -93,6 +99,7 @@
 }
 
 func (t *Table) setRow(r rowstore.Row) {
+	t.tables[r.Table] = true
 	if r.Deleted {
 		delete(t.rows, rowstore.Ref{Table: r.Table, Key: r.Key})
 	} else {
@@ -165,6 +172,9 @@
 			return 0, err
 		}
 	}
+	if err := c.table.awaitTurn(ctx, txn); err != nil {
+		return 0, err
+	}
 	c.table.mu.Lock()
 	c.table.commitCount++
 	lose := c.table.faults.LoseEveryNth > 0 && c.table.commitCount%c.table.faults.LoseEveryNth == 0
@@ -206,41 +216,6 @@
 	return len(seen) <= 1
 }
 
-// Limits of the users' store. They are not those of package rowstore, which are tested
-// against them.
-const (
-	maxEntries    = 100
-	maxCallBytes  = 1_000_000
-	maxValueBytes = 65_536
-	maxNameBytes  = 200
-)
-
-// checkLimits returns an error if the transaction exceeds a limit of the store.
-func checkLimits(txn rowstore.Txn) error {
-	entries, size := 0, 0
-	var err error
-	count := func(table, key string, value []byte) {
-		entries++
-		size += len(table) + len(key) + base64.StdEncoding.EncodedLen(len(value))
-		if len(table) > maxNameBytes || len(key) > maxNameBytes || len(value) > maxValueBytes {
-			err = verdict.Refuse(verdict.CodeBadRequest, "row %.40s of table %.40s has %d bytes, its key %d", key, table, len(value), len(key))
-		}
-	}
-	for _, c := range txn.Checks {
-		count(c.Table, c.Key, nil)
-	}
-	for _, p := range txn.Puts {
-		count(p.Table, p.Key, p.Value)
-	}
-	for _, d := range txn.Deletes {
-		count(d.Table, d.Key, nil)
-	}
-	if entries > maxEntries || size > maxCallBytes {
-		return verdict.Refuse(verdict.CodeBadRequest, "a transaction of %d entries and %d bytes", entries, size)
-	}
-	return err
-}
-
 // apply commits a transaction unless its checks fail. If they fail because the
 // same transaction has already been applied, it reports success.
 func (t *Table) apply(txn rowstore.Txn) (uint64, error) {
@@ -249,7 +224,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if err := checkLimits(txn); err != nil {
+	if err := t.checkLimits(txn); err != nil {
 		t.refused++
 		return 0, err
 	}
@@ -284,17 +259,34 @@
 	if err := c.applyFaults(ctx); err != nil {
 		return rowstore.Page{}, err
 	}
-	c.table.mu.Lock()
-	defer c.table.mu.Unlock()
-	page := rowstore.Page{Version: c.table.version}
-	for ref, r := range c.table.rows {
-		if ref.Table == table && ref.Key >= from {
+	return c.table.list(table, from, limit, func(rowstore.Row) bool { return true })
+}
+
+// ListPartition returns rows of one partition like List, for the named process. inPartition
+// reports whether a row is in it.
+func (t *Table) ListPartition(ctx context.Context, process, table, from string, limit int, inPartition func(rowstore.Row) bool) (rowstore.Page, error) {
+	c := client{t, process}
+	if err := c.applyFaults(ctx); err != nil {
+		return rowstore.Page{}, err
+	}
+	return t.list(table, from, limit, inPartition)
+}
+
+func (t *Table) list(table, from string, limit int, keep func(rowstore.Row) bool) (rowstore.Page, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.reads.allow(t.Rates.Reads) {
+		return rowstore.Page{}, overRate()
+	}
+	page := rowstore.Page{Version: t.version}
+	for ref, r := range t.rows {
+		if ref.Table == table && ref.Key >= from && keep(r) {
 			page.Rows = append(page.Rows, r)
 		}
 	}
 	slices.SortFunc(page.Rows, func(a, b rowstore.Row) int { return strings.Compare(a.Key, b.Key) })
-	if len(page.Rows) > limit {
-		page.Rows, page.More = page.Rows[:limit], true
+	if end := pageEnd(page.Rows, limit); end < len(page.Rows) {
+		page.Rows, page.More = page.Rows[:end], true
 	}
 	return page, nil
 }
@@ -309,6 +301,9 @@
 	}
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
+	if !c.table.reads.allow(c.table.Rates.Reads) {
+		return rowstore.Row{}, false, overRate()
+	}
 	r, ok := c.table.rows[rowstore.Ref{Table: table, Key: key}]
 	return r, ok, nil
 }
@@ -318,6 +313,12 @@
 	if err := c.applyFaults(ctx); err != nil {
 		return rowstore.Page{}, err
 	}
+	c.table.mu.Lock()
+	allowed := c.table.reads.allow(c.table.Rates.Reads)
+	c.table.mu.Unlock()
+	if !allowed {
+		return rowstore.Page{}, overRate()
+	}
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for timedOut := false; ; {
--- a/internal/workflowdaemon/sim_cases_test.go
+++ b/internal/workflowdaemon/sim_cases_test.go
@@ -216,13 +216,15 @@
 	})
 }
 
-// waitForEnd waits until a running entry reports that a job has ended.
-func (s *sim) waitForEnd(id string) {
+// waitForEnd waits until a running entry reports that a job has ended, and returns the state
+// that it reports. Others may learn of it some milliseconds later.
+func (s *sim) waitForEnd(id string) workflow.State {
 	s.t.Helper()
 	for deadline := time.Now().Add(30 * time.Second); time.Now().Before(deadline); time.Sleep(300 * time.Millisecond) {
 		if state, known, err := s.randomEntry().Gateway.State(s.ctx, simQueue("batch"), id); err == nil && known && state.Final() {
-			return
+			return state
 		}
 	}
 	s.t.Errorf("job %s has not ended", id)
+	return ""
 }
--- a/internal/workflowdaemon/sim_crash_test.go
+++ b/internal/workflowdaemon/sim_crash_test.go
@@ -76,19 +76,6 @@
 	h.crashing[t] = 0
 }
 
-// stateOf returns the state of a job that an entry reports, or an empty state.
-func (s *sim) stateOf(id string) workflow.State {
-	e := s.randomEntry()
-	if e == nil {
-		return ""
-	}
-	state, _, err := e.Gateway.State(s.ctx, simQueue("batch"), id)
-	if err != nil {
-		return ""
-	}
-	return state
-}
-
 // Jobs of the tests of crashes.
 const (
 	crashingJob = "5c0e7a21d94b36f8"
@@ -120,8 +107,7 @@
 // expectState waits for the end of a job and checks its state.
 func (s *sim) expectState(id string, want workflow.State) {
 	s.t.Helper()
-	s.waitForEnd(id)
-	if state := s.stateOf(id); state != want {
+	if state := s.waitForEnd(id); state != want {
 		s.t.Errorf("job %s is %q, want %q", id, state, want)
 	}
 }
--- a/internal/workflowdaemon/sim_test.go
+++ b/internal/workflowdaemon/sim_test.go
@@ -103,6 +103,7 @@
 func newPartitionedTable() *rowstorestub.Table {
 	t := rowstorestub.New()
 	t.Partition = workflow.Partition
+	t.Rates, t.ReadOnly = rowstorestub.UsersRates, map[string]bool{"op": true}
 	return t
 }
 
--- a/internal/workflowowner/advice_test.go
+++ b/internal/workflowowner/advice_test.go
@@ -144,3 +144,31 @@
 		}
 	})
 }
+
+// TestAdviceCallsAreLimited guards against calls that name more workers than the placement
+// advice service takes, which is 100.
+func TestAdviceCallsAreLimited(t *testing.T) {
+	a := &fakeAdvisor{}
+	runOwner(t, withAdvisor(a), func(r *harness) {
+		const workers = 120
+		for i := range workers {
+			a.allowed = append(a.allowed, fmt.Sprintf("w%03d", i))
+		}
+		r.submit(testJob, newStep(workers*8))
+		for range 10 {
+			for _, id := range a.allowed {
+				r.report(id, id, 1, func(args *workflowrpc.SyncArgs) { args.Wait = time.Millisecond })
+			}
+		}
+		named := 0
+		for _, call := range a.asked() {
+			named += len(call)
+			if len(call) > 100 {
+				t.Errorf("a call names %d workers", len(call))
+			}
+		}
+		if named == 0 {
+			t.Error("no call was made")
+		}
+	})
+}
--- a/internal/workflowowner/large_job_test.go
+++ b/internal/workflowowner/large_job_test.go
@@ -34,15 +34,19 @@
 
 // rows returns the stored rows whose keys begin with prefix.
 func (r *harness) rows(prefix string) []rowstore.Row {
-	page, err := r.table.ClientFor("test").List(r.t.Context(), testTable, prefix, 1<<20)
-	if err != nil {
-		r.t.Fatal(err)
-	}
 	var out []rowstore.Row
-	for _, row := range page.Rows {
-		if strings.HasPrefix(row.Key, prefix) {
-			out = append(out, row)
+	for from, more := prefix, true; more; {
+		page, err := r.table.ClientFor("test").List(r.t.Context(), testTable, from, 500)
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		for _, row := range page.Rows {
+			if strings.HasPrefix(row.Key, prefix) {
+				out = append(out, row)
+			}
+			from = row.Key + "\x00"
 		}
+		more = page.More
 	}
 	return out
 }
