Limit the starts in a reply and the start calls to a worker

Cause: a reply to an agent had all starts of a step, 2.7 MB, and the agent sent all at once: their time limit ended while they waited for one of 16 connections, and they were repeated.

Change: a reply has up to 256 KiB of payloads, the next one the rest; 16 start calls to a worker are in progress at a time, and their time limit begins with the call.

--- a/internal/workflowagent/agent_test.go
+++ b/internal/workflowagent/agent_test.go
@@ -40,6 +40,11 @@
 	lostStartReplies int
 	// stopDelay is how long a run goes on after its stop.
 	stopDelay time.Duration
+	// startTime is how long a start takes when it is alone; others wait for startTurn.
+	startTime time.Duration
+	startTurn chan struct{}
+	// lateStarts counts the start calls whose time limit ended while they waited.
+	lateStarts int
 	// listLimit is the largest number of ends in a listing; 0 for no limit.
 	listLimit int
 }
@@ -69,6 +74,18 @@
 	if err := w.injectFault(ctx); err != nil {
 		return Answer{}, err
 	}
+	if w.startTime > 0 {
+		select {
+		case w.startTurn <- struct{}{}:
+			time.Sleep(w.startTime)
+			<-w.startTurn
+		case <-ctx.Done():
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.lateStarts++
+			return Answer{}, ctx.Err()
+		}
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.starts++
--- a/internal/workflowagent/listing_test.go
+++ b/internal/workflowagent/listing_test.go
@@ -139,3 +139,23 @@
 		}
 	})
 }
+
+// TestManyStartsAreAnswered guards against starts of a wide step that wait for each other until
+// their time limit ends, and are sent again and again.
+func TestManyStartsAreAnswered(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		const runs = 300
+		h.worker.startTime, h.worker.startTurn = 5*time.Millisecond, make(chan struct{}, 1)
+		h.owner.mu.Lock()
+		for i := range runs {
+			h.owner.startOrders = append(h.owner.startOrders, workflowrpc.Start{ID: testRun(i + 1)})
+		}
+		h.owner.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		h.worker.mu.Lock()
+		defer h.worker.mu.Unlock()
+		if h.worker.starts != runs || len(h.worker.running) != runs || h.worker.lateStarts > 0 {
+			t.Errorf("%d start calls for %d of %d runs, and %d that were given up", h.worker.starts, len(h.worker.running), runs, h.worker.lateStarts)
+		}
+	})
+}
--- a/internal/workflowagent/orders.go
+++ b/internal/workflowagent/orders.go
@@ -21,6 +21,9 @@
 	// maxStartAttempts limits the calls for one start. Together they last no longer
 	// than a gang waits for its members.
 	maxStartAttempts = 5
+	// maxStartCalls limits the start calls to a worker at a time. More would wait for a
+	// connection, and their time limit would end meanwhile.
+	maxStartCalls = 16
 )
 
 // applyReply carries out the orders in the owner's reply to a call that was sent at
@@ -75,36 +78,15 @@
 func (s *session) startRun(ctx context.Context, order workflowrpc.Start, r *localRun, expires time.Duration) {
 	reason := ReasonNoAnswer
 	for range maxStartAttempts {
-		s.mu.Lock()
-		refuse, now := "", s.agent.opts.Clock()
-		switch {
-		case r.stopRequested:
-			refuse = ReasonNoAnswer
-		case s.worker.Draining:
-			refuse = ReasonDraining
-		case now > expires:
-			refuse = ReasonDeadlinePassed
-		case r.state != workflowrpc.RunStarting || s.gone:
-			s.mu.Unlock()
-			return // a listing has shown the run, or the worker is gone
-		}
-		call := StartCall{
-			ID: order.ID, Payload: order.Payload, Checkpoint: order.Checkpoint, Ticket: order.Ticket, Fence: s.confirmedFence,
-			Deadline: s.workerClock(now) + startValidity,
-		}
-		s.lastStartSent = now
-		firstCall := r.sentAt == 0
-		if firstCall {
-			r.sentAt = now
+		sent := s.sendStart(ctx, order, r, expires)
+		if sent.settled {
+			return
 		}
-		s.mu.Unlock()
-		if refuse != "" {
-			reason = refuse
+		if sent.refused != "" {
+			reason = sent.refused
 			break
 		}
-		limited, cancel := context.WithTimeout(ctx, orderTimeout)
-		answer, err := s.api.Start(limited, call)
-		cancel()
+		answer, err := sent.answer, sent.err
 		if errors.Is(err, ErrOtherIncarnation) {
 			s.markGone(err.Error())
 			return
@@ -112,7 +94,7 @@
 		s.mu.Lock()
 		if err != nil {
 			s.recordFailure(err)
-			if firstCall && errors.Is(err, ErrNotListening) {
+			if sent.first && errors.Is(err, ErrNotListening) {
 				r.sentAt = 0 // the call has not reached the worker
 			}
 			r.startUnanswered = true
@@ -143,6 +125,55 @@
 	s.rejectRun(ctx, order.ID, r, reason)
 }
 
+// sentStart is the outcome of sendStart.
+type sentStart struct {
+	settled bool   // no call is needed: a listing has shown the run, the worker is gone, or ctx has ended
+	refused string // why the agent itself does not start the run; empty if it sent a call
+	first   bool   // the call was the first one for this run
+	answer  Answer
+	err     error
+}
+
+// sendStart makes one start call, once less than maxStartCalls are in progress.
+func (s *session) sendStart(ctx context.Context, order workflowrpc.Start, r *localRun, expires time.Duration) sentStart {
+	select {
+	case s.startCalls <- struct{}{}:
+	case <-ctx.Done():
+		return sentStart{settled: true}
+	}
+	defer func() { <-s.startCalls }()
+	s.mu.Lock()
+	now := s.agent.opts.Clock()
+	var out sentStart
+	switch {
+	case r.stopRequested:
+		out.refused = ReasonNoAnswer
+	case s.worker.Draining:
+		out.refused = ReasonDraining
+	case now > expires:
+		out.refused = ReasonDeadlinePassed
+	case r.state != workflowrpc.RunStarting || s.gone:
+		out.settled = true
+	}
+	if out.refused != "" || out.settled {
+		s.mu.Unlock()
+		return out
+	}
+	call := StartCall{
+		ID: order.ID, Payload: order.Payload, Checkpoint: order.Checkpoint, Ticket: order.Ticket, Fence: s.confirmedFence,
+		Deadline: s.workerClock(now) + startValidity,
+	}
+	s.lastStartSent = now
+	if out.first = r.sentAt == 0; out.first {
+		r.sentAt = now
+	}
+	s.mu.Unlock()
+	limited, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	out.answer, out.err = s.api.Start(limited, call)
+	return out
+}
+
 // rejectRun records that a run did not start, to be reported as rejected. If a start
 // call had no answer, the worker may have started the run or may still do so: the
 // run is then stopped first. Then, and if the worker rejected the start because the run has
--- a/internal/workflowagent/session.go
+++ b/internal/workflowagent/session.go
@@ -99,6 +99,7 @@
 
 	reportNow  chan struct{} // signals a change to report to the owner
 	holdNow    chan struct{} // signals a change that the worker must be told
+	startCalls chan struct{} // has an element for each start call in progress
 	cancelHold context.CancelFunc
 	// syncSeq is the number of the last call to the owner, processedSeq that of the
 	// newest call whose reply was processed.
@@ -110,7 +111,7 @@
 		agent: a, id: w.ID, incarnation: w.Incarnation, api: a.opts.Connect(addr, w.ID), worker: w, heartbeatSeq: seq, heartbeatAt: time.Now(), lastAnswer: time.Now(),
 		leaseBase: a.opts.Clock(), // an earlier process of this agent may have renewed leases until now
 		runs:      map[workflow.RunID]*localRun{}, endedRuns: map[workflow.RunID]time.Time{},
-		reportNow: make(chan struct{}, 1), holdNow: make(chan struct{}, 1), cancelHold: func() {},
+		reportNow: make(chan struct{}, 1), holdNow: make(chan struct{}, 1), startCalls: make(chan struct{}, maxStartCalls), cancelHold: func() {},
 	}
 }
 
--- a/internal/workflowowner/large_job_test.go
+++ b/internal/workflowowner/large_job_test.go
@@ -269,3 +269,35 @@
 		}
 	})
 }
+
+// TestStartsInReplyAreLimited guards against a reply with the starts of a wide step that is so
+// large that the agent gives up the call, each time.
+func TestStartsInReplyAreLimited(t *testing.T) {
+	runOwner(t, func(*harness) {}, func(r *harness) {
+		const tasks = 670
+		step := workflow.Step{Tasks: tasks, Need: workflow.Resources{CPUMilli: 50}, Estimate: 1000}
+		r.putJSON(workflow.RecordPrefix+testJob, workflow.Record{
+			ID: testJob, Queue: "q", Account: "a", Terms: workflow.Terms{MaxAttempts: 2, Stretch: 3},
+			Spec: workflow.Spec{Payload: strings.Repeat("x", workflow.MaxPayloadBytes), Steps: []workflow.Step{step}},
+		})
+		started := map[workflow.RunID]bool{}
+		for range 50 {
+			reply := r.report("w", "a", 1, func(a *workflowrpc.SyncArgs) {
+				for id := range started {
+					a.Runs = append(a.Runs, workflowrpc.Run{ID: id, State: workflowrpc.RunRunning})
+				}
+			})
+			size := 0
+			for _, s := range reply.Start {
+				size += len(s.Payload)
+				started[s.ID] = true
+			}
+			if size > maxReplyPayload+workflow.MaxPayloadBytes {
+				t.Fatalf("a reply has payloads of %d bytes", size)
+			}
+		}
+		if len(started) != tasks {
+			t.Errorf("%d of %d tasks were started", len(started), tasks)
+		}
+	})
+}
--- a/internal/workflowowner/worker.go
+++ b/internal/workflowowner/worker.go
@@ -465,6 +465,10 @@
 	o.endRun(r, workflow.EndLost, "rejected: "+reason)
 }
 
+// maxReplyPayload is the size of the payloads in a reply from which further starts are left
+// to the next one. A reply has to arrive before the agent gives up its call.
+const maxReplyPayload = 256 << 10
+
 // fillOrders sets the orders in the reply, and reports whether it has to be sent now:
 // because of orders, or because ends that the call lists have become durable.
 func (o *Owner) fillOrders(w *worker, args *workflowrpc.SyncArgs, rejected []workflow.RunID, reply *workflowrpc.SyncReply) bool {
@@ -473,12 +477,14 @@
 	for _, report := range args.Runs {
 		reportedStates[report.ID] = report.State
 	}
+	payload := 0
 	for id, r := range w.runs {
 		state, ok := reportedStates[id]
 		switch {
 		case r.stopReason != "" && state != workflowrpc.RunStopping:
 			reply.Stop = append(reply.Stop, id)
-		case r.stopReason == "" && !ok:
+		case r.stopReason == "" && !ok && payload < maxReplyPayload:
+			payload += len(r.job.record.Spec.Payload)
 			reply.Start = append(reply.Start, workflowrpc.Start{
 				ID: id, Payload: r.job.record.Spec.Payload, Checkpoint: r.job.progress.Checkpoint(&r.job.record.Spec, id.Task), Ticket: r.ticket,
 			})
