--- a/internal/workflowowner/owner.go
+++ b/internal/workflowowner/owner.go
@@ -164,7 +164,7 @@
 		opts: o, startedAt: time.Now(), ctx: ctx, cancel: cancel, jobs: map[string]*job{}, workers: map[string]*worker{},
 		queueWork: map[string]average{}, runtimes: estimate.NewRuntimesWithPrior(declaredPrior), health: estimate.NewHealth(),
 		wakeDecide: make(chan struct{}, 1), wakePersist: make(chan struct{}, 1), written: make(chan struct{}),
-		batchLimit: maxBatchItems,
+		batchLimit: maxBatchRows,
 	}
 }
 
--- a/internal/workflowowner/persist.go
+++ b/internal/workflowowner/persist.go
@@ -16,9 +16,9 @@
 
 // Limits of the owner's writes.
 const (
-	// maxBatchItems is the maximum number of rows in a transaction, which the limits of the
+	// maxBatchRows is the maximum number of rows in a transaction, which the limits of the
 	// store reduce further. maxBatchWorkers leaves room for jobs.
-	maxBatchItems   = 50
+	maxBatchRows   = 50
 	maxBatchWorkers = 20
 	writeTimeout    = 2500 * time.Millisecond
 	// writeRetryDelay is the mean delay after a failed write.
@@ -97,7 +97,7 @@
 		return true, err
 	}
 	o.opts.OnFencedWrite(o.opts.Epoch, clock)
-	o.batchLimit = min(2*o.batchLimit, maxBatchItems)
+	o.batchLimit = min(2*o.batchLimit, maxBatchRows)
 	for _, wr := range b.progress {
 		wr.job.row(wr.row).version = version
 		if wr.row == workflow.MainRow {
