Take no leave as an excuse for a crash

Change: an end is planned only if the worker has drained before, as each one does before it leaves, or if the agent has restarted and had no heartbeat of it yet.

--- a/internal/workflowagent/crash.go
+++ b/internal/workflowagent/crash.go
@@ -24,7 +24,8 @@
 		s.endedAt = s.agent.opts.Clock()
 	}
 	switch {
-	case s.leftRecently() || s.worker.Draining:
+	case s.worker.Draining, s.worker.Unconfirmed && s.leftRecently():
+		// A worker drains before it leaves. The leave alone may be an earlier incarnation's.
 		s.worker.End = workflowrpc.WorkerLeft
 	case s.listed:
 		s.worker.End = workflowrpc.WorkerCrashed
--- a/internal/workflowagent/crash_test.go
+++ b/internal/workflowagent/crash_test.go
@@ -81,6 +81,7 @@
 		end  func(h *harness)
 	}{
 		{"left", func(h *harness) {
+			h.agent.Heartbeat(workflowrpc.Worker{ID: "w", Incarnation: 1, Draining: true}, "addr", 2)
 			h.agent.WorkerLeft("w")
 			h.crash() // its process ends once the leave is confirmed
 		}},
--- a/internal/workflowagent/leave_test.go
+++ b/internal/workflowagent/leave_test.go
@@ -35,6 +35,7 @@
 	withHarness(t, func(t *testing.T, h *harness) {
 		h.orderStart(testRun(1))
 		time.Sleep(time.Second)
+		h.agent.Heartbeat(workflowrpc.Worker{ID: "w", Incarnation: 1, Draining: true}, "addr", 2)
 		h.agent.WorkerLeft("w")
 		h.worker.mu.Lock()
 		h.worker.crashed = true // its process ends once the leave is confirmed
@@ -53,7 +54,6 @@
 		h.orderStart(testRun(1))
 		time.Sleep(time.Second)
 		h.agent.WorkerLeft("w")
-		time.Sleep(2 * holdWait)
 		h.crash()
 		if w := h.owner.lastReport().Worker; !w.Gone || w.End != workflowrpc.WorkerCrashed {
 			t.Errorf("reported worker %+v, want one that has crashed", w)
--- a/internal/workflowowner/persist.go
+++ b/internal/workflowowner/persist.go
@@ -18,7 +18,7 @@
 const (
 	// maxBatchRows is the maximum number of rows in a transaction, which the limits of the
 	// store reduce further. maxBatchWorkers leaves room for jobs.
-	maxBatchRows   = 50
+	maxBatchRows    = 50
 	maxBatchWorkers = 20
 	writeTimeout    = 2500 * time.Millisecond
 	// writeRetryDelay is the mean delay after a failed write.
