Share listings between the runs that wait for one

Cause: each run whose start is in doubt requested listings of its own, every 0.2 s while ends are unlisted. After the restart of an agent in an outage that is some hundred runs.

Change: one request at a time serves all of them, at most one in 50 ms, and one in 0.2 s while the listing is truncated.

--- a/internal/workflowagent/agent.go
+++ b/internal/workflowagent/agent.go
@@ -298,7 +298,7 @@
 	for _, s := range sessions {
 		wg.Go(func() {
 			// With a wait of 0 the worker answers at once.
-			if _, err := s.hold(ctx, 0); err != nil {
+			if err := s.hold(ctx, 0); err != nil {
 				a.opts.Log.Event("lease_not_extended", "worker", s.id, "err", err.Error())
 			}
 		})
--- a/internal/workflowagent/agent_test.go
+++ b/internal/workflowagent/agent_test.go
@@ -45,6 +45,7 @@
 	startTurn chan struct{}
 	// lateStarts counts the start calls whose time limit ended while they waited.
 	lateStarts int
+	holds      int
 	// listLimit is the largest number of ends in a listing; 0 for no limit.
 	listLimit int
 }
@@ -147,6 +148,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.holds++
 	w.fence, w.lease = max(w.fence, c.Fence), max(w.lease, c.Deadline)
 	l := Listing{Answer: Answer{Clock: w.clock()}, Incarnation: 1}
 	for id := range w.running {
--- a/internal/workflowagent/listing_test.go
+++ b/internal/workflowagent/listing_test.go
@@ -159,3 +159,33 @@
 		}
 	})
 }
+
+// TestRunsShareListings guards against a worker that is kept busy by listings: after the
+// restart of its agent during an outage each of many runs waits for a complete one.
+func TestRunsShareListings(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		const runs = 300
+		h.worker.endRuns(runs)
+		h.worker.mu.Lock()
+		h.worker.listLimit = 2
+		for i := range runs {
+			h.worker.stopped[testRun(i+1)] = true
+		}
+		h.worker.mu.Unlock()
+		h.owner.mu.Lock()
+		for i := range runs {
+			h.owner.startOrders = append(h.owner.startOrders, workflowrpc.Start{ID: testRun(i + 1)})
+		}
+		h.owner.mu.Unlock()
+		time.Sleep(time.Second)
+		h.worker.mu.Lock()
+		before := h.worker.holds
+		h.worker.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		h.worker.mu.Lock()
+		defer h.worker.mu.Unlock()
+		if n := h.worker.holds - before; n < 10 || n > 150 {
+			t.Errorf("%d listings in 10 s", n)
+		}
+	})
+}
--- a/internal/workflowagent/orders.go
+++ b/internal/workflowagent/orders.go
@@ -215,30 +215,45 @@
 	s.stopUntilAnswered(ctx, id)
 }
 
-// listUntilComplete requests listings until one has all ends that the worker keeps, or one
-// has shown the run or its end. It returns false if the worker is gone or ctx ends.
+// listUntilComplete requests listings until one, requested after this call began, has all
+// ends that the worker keeps, or one has shown the run or its end. It returns false if the
+// worker is gone or ctx ends. One request at a time serves all runs that wait for it.
 func (s *session) listUntilComplete(ctx context.Context, id workflow.RunID, r *localRun) bool {
+	began := time.Now()
 	for ctx.Err() == nil && !s.isGone() {
-		complete, err := s.hold(ctx, 0)
-		if errors.Is(err, ErrOtherIncarnation) {
-			s.markGone(err.Error())
-			return false
+		s.mu.Lock()
+		delay := time.Until(s.listedAt.Add(s.relistPause()))
+		s.mu.Unlock()
+		if delay <= 0 && s.listing.TryLock() {
+			err := s.hold(ctx, 0)
+			s.listing.Unlock()
+			if errors.Is(err, ErrOtherIncarnation) {
+				s.markGone(err.Error())
+				return false
+			}
+			if err != nil {
+				delay = retry.Jitter(2 * retryDelay)
+			}
 		}
 		s.mu.Lock()
-		done := err == nil && complete || !s.isStarting(id, r)
+		done := s.completeAsOf.After(began) || !s.isStarting(id, r)
 		s.mu.Unlock()
 		if done {
 			return true
 		}
-		delay := retry.Jitter(2 * retryDelay)
-		if err == nil {
-			delay = relistDelay // the next ends are listed once these are acknowledged
-		}
-		retry.Sleep(ctx, delay)
+		retry.Sleep(ctx, max(delay, minRelistPause))
 	}
 	return false
 }
 
+// relistPause is the time between two requests of listUntilComplete. s.mu must be held.
+func (s *session) relistPause() time.Duration {
+	if s.completeAsOf.Equal(s.listedAt) {
+		return minRelistPause
+	}
+	return relistDelay // the next ends are listed once these are acknowledged
+}
+
 // stopUntilAnswered calls the worker's Stop until the worker accepts it. It returns
 // false if the worker is gone or ctx ends.
 func (s *session) stopUntilAnswered(ctx context.Context, id workflow.RunID) bool {
--- a/internal/workflowagent/session.go
+++ b/internal/workflowagent/session.go
@@ -25,6 +25,8 @@
 	// while it has ends that the owner has not acknowledged; without the delay, the
 	// calls would follow each other immediately.
 	relistDelay = 200 * time.Millisecond
+	// minRelistPause is the least time between two listings for which runs wait.
+	minRelistPause = 50 * time.Millisecond
 	// retryDelay is the mean delay after a failed call.
 	retryDelay = 60 * time.Millisecond
 	// maxRetryDelay limits the delay, which doubles with each failed stop.
@@ -82,11 +84,15 @@
 	// lastStartSent is when the last start call was sent. A run that it starts has a
 	// short lease from that time.
 	lastStartSent time.Duration
-	listed        bool      // the worker has answered with a listing
-	allListed     bool      // a listing has had all ends that the worker keeps
-	lastAnswer    time.Time // when the worker last answered
-	silent        bool      // no answer for silentAfter
-	gone          bool      // this incarnation of the worker has ended
+	listed        bool // the worker has answered with a listing
+	// listedAt is when the last listing was requested that was answered.
+	listedAt time.Time
+	// completeAsOf is when the last listing was requested that had all ends that the worker
+	// keeps, zero for none.
+	completeAsOf time.Time
+	lastAnswer   time.Time // when the worker last answered
+	silent       bool      // no answer for silentAfter
+	gone         bool      // this incarnation of the worker has ended
 	// failedSince is when the first call failed since the last answer, endedAt when the
 	// worker ended; both are on the agent's clock, 0 for none.
 	failedSince, endedAt time.Duration
@@ -99,6 +105,7 @@
 
 	reportNow  chan struct{} // signals a change to report to the owner
 	holdNow    chan struct{} // signals a change that the worker must be told
+	listing    sync.Mutex    // held by the request of listUntilComplete
 	startCalls chan struct{} // has an element for each start call in progress
 	cancelHold context.CancelFunc
 	// syncSeq is the number of the last call to the owner, processedSeq that of the
@@ -228,7 +235,7 @@
 		case <-s.holdNow:
 		default:
 		}
-		if _, err := s.hold(ctx, wait); err != nil {
+		if err := s.hold(ctx, wait); err != nil {
 			if errors.Is(err, ErrOtherIncarnation) || s.refusedTooLong() {
 				s.markGone(err.Error())
 				return
@@ -250,9 +257,8 @@
 
 // hold renews the leases of the worker's runs and applies the listing of the runs that
 // the worker returns, with one request. The worker may wait up to wait for the end of a
-// run before it answers; s.cancelHold cuts the request short. It reports whether the
-// listing has all ends that the worker keeps.
-func (s *session) hold(ctx context.Context, wait time.Duration) (complete bool, err error) {
+// run before it answers; s.cancelHold cuts the request short.
+func (s *session) hold(ctx context.Context, wait time.Duration) error {
 	epoch := s.agent.currentEpoch()
 	ctx, cancel := context.WithTimeout(ctx, wait+holdTimeout)
 	defer cancel()
@@ -264,10 +270,10 @@
 	l, err := s.api.Hold(ctx, call)
 	if err != nil {
 		s.holdFailed(err)
-		return false, err
+		return err
 	}
 	if l.Incarnation != 0 && l.Incarnation != s.incarnation {
-		return false, ErrOtherIncarnation
+		return ErrOtherIncarnation
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -275,14 +281,14 @@
 	if l.Rejected != "" {
 		// The worker has seen a higher token, of an owner unknown to this agent.
 		s.agent.opts.Log.Event("hold_rejected", "worker", s.id, "reason", l.Rejected, "epoch", epoch)
-		return false, errors.New("hold rejected: " + l.Rejected)
+		return errors.New("hold rejected: " + l.Rejected)
 	}
 	if epoch > s.confirmedFence {
 		s.confirmedFence = epoch
 		signal(s.reportNow)
 	}
 	s.applyListing(l, sent)
-	return !l.Truncated, nil
+	return nil
 }
 
 // holdFailed records a failed call of Hold, and reports the worker as silent once it
@@ -398,8 +404,12 @@
 
 // applyListing applies a listing that was requested at sent. s.mu must be held.
 func (s *session) applyListing(l Listing, sent time.Time) {
-	changed := !s.listed || !s.allListed && !l.Truncated
-	s.listed, s.allListed = true, s.allListed || !l.Truncated
+	changed := !s.listed
+	s.listed, s.listedAt = true, sent
+	if !l.Truncated {
+		changed = changed || s.completeAsOf.IsZero()
+		s.completeAsOf = sent
+	}
 	present := map[workflow.RunID]bool{}
 	for _, r := range l.Running {
 		present[r.ID] = true
--- a/internal/workflowagent/sync.go
+++ b/internal/workflowagent/sync.go
@@ -86,7 +86,7 @@
 	}
 	s.syncSeq++
 	w := s.worker
-	w.Gone, w.EndsUnlisted = s.gone, !s.allListed
+	w.Gone, w.EndsUnlisted = s.gone, s.completeAsOf.IsZero()
 	w.Remaining = max(0, w.Remaining-time.Since(s.heartbeatAt))
 	if s.silent {
 		w.Silent, w.Lapsed = time.Since(s.lastAnswer), s.leasesExpired()
