Let the listing in progress end when a worker leaves

Cause: the agent ended its call to the worker when the leave arrived, and with it the answer that had the last end.

Change: the call goes on. It fails at once if the worker ends before it answers.

--- a/internal/workflowagent/leave_test.go
+++ b/internal/workflowagent/leave_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/parsleypier/parsleypier/internal/workflow"
 	"github.com/parsleypier/parsleypier/internal/workflowrpc"
 )
 
@@ -60,3 +61,23 @@
 		}
 	})
 }
+
+// TestEndBeforeLeaveIsReported guards against a second run of a task that was done just before
+// its worker left: the listing with its end is still on its way when the leave arrives.
+func TestEndBeforeLeaveIsReported(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		h.orderStart(testRun(1))
+		time.Sleep(holdWait + holdWait/2)
+		h.agent.Heartbeat(workflowrpc.Worker{ID: "w", Incarnation: 1, Draining: true}, "addr", 2)
+		h.worker.mu.Lock()
+		h.worker.end(testRun(1), workflow.EndDone)
+		h.worker.crashed = true // calls in progress are still answered
+		h.worker.mu.Unlock()
+		h.agent.WorkerLeft("w")
+		time.Sleep(2 * holdWait)
+		r := h.owner.lastReport()
+		if !r.Worker.Gone || len(r.Ends) != 1 || r.Ends[0].ID != testRun(1) {
+			t.Errorf("reported worker %+v with ends %+v, want one that has left, and the end", r.Worker, r.Ends)
+		}
+	})
+}
--- a/internal/workflowagent/session.go
+++ b/internal/workflowagent/session.go
@@ -175,7 +175,8 @@
 }
 
 // leaveReceived handles a leave under the worker's ID. Alone it does not show that this
-// incarnation has ended; the next calls to the worker do, which follow at once.
+// incarnation has ended; the next calls to the worker do. The one in progress may still bring
+// the last ends, and fails at once if the worker ends before it answers.
 func (s *session) leaveReceived() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -184,8 +185,6 @@
 	}
 	s.leaveAt = s.agent.opts.Clock()
 	s.agent.opts.Log.Event("worker_leave", "worker", s.id, "incarnation", s.incarnation, "draining", s.worker.Draining, "runs", len(s.runs))
-	signal(s.holdNow)
-	s.cancelHold()
 }
 
 // leftRecently reports whether a leave has arrived so recently that an end of the worker
