--- a/internal/workflowagent/listing_test.go
+++ b/internal/workflowagent/listing_test.go
@@ -61,11 +61,7 @@
 		h.worker.mu.Lock()
 		h.worker.listLimit = limit
 		h.worker.mu.Unlock()
-		h.owner.mu.Lock()
-		for i := range runs {
-			h.owner.startOrders = append(h.owner.startOrders, workflowrpc.Start{ID: testRun(i + 1)})
-		}
-		h.owner.mu.Unlock()
+		h.orderStarts(runs)
 		time.Sleep(time.Second)
 		h.worker.endRuns(runs)
 		for noted := 0; noted <= runs; noted += limit {
@@ -146,11 +142,7 @@
 	withHarness(t, func(t *testing.T, h *harness) {
 		const runs = 300
 		h.worker.startTime, h.worker.startTurn = 5*time.Millisecond, make(chan struct{}, 1)
-		h.owner.mu.Lock()
-		for i := range runs {
-			h.owner.startOrders = append(h.owner.startOrders, workflowrpc.Start{ID: testRun(i + 1)})
-		}
-		h.owner.mu.Unlock()
+		h.orderStarts(runs)
 		time.Sleep(3 * time.Second)
 		h.worker.mu.Lock()
 		defer h.worker.mu.Unlock()
@@ -172,11 +164,7 @@
 			h.worker.stopped[testRun(i+1)] = true
 		}
 		h.worker.mu.Unlock()
-		h.owner.mu.Lock()
-		for i := range runs {
-			h.owner.startOrders = append(h.owner.startOrders, workflowrpc.Start{ID: testRun(i + 1)})
-		}
-		h.owner.mu.Unlock()
+		h.orderStarts(runs)
 		time.Sleep(time.Second)
 		h.worker.mu.Lock()
 		before := h.worker.holds
