--- a/internal/workflow/chunk_test.go
+++ b/internal/workflow/chunk_test.go
@@ -179,3 +179,22 @@
 		}
 	}
 }
+
+// TestMalformedPartsAreLeftOut guards against rows of another writer with steps and tasks that
+// the job does not have: no row may be marked or written for them.
+func TestMalformedPartsAreLeftOut(t *testing.T) {
+	s := &Spec{Steps: []Step{{Tasks: 470}}}
+	p, foreign := &Progress{}, &Progress{}
+	if err := json.Unmarshal([]byte(`{"parts":{"0":{"done":[500,-1,3],"failed":{"900":[1],"4":null}},"7":{"done":[0]},"-7":{"done":[9]},"1":null}}`), foreign); err != nil {
+		t.Fatal(err)
+	}
+	p.Merge(foreign)
+	p.MarkAllChanged(s)
+	if rows := p.TakeChangedRows(); !reflect.DeepEqual(rows, []int{0}) {
+		t.Errorf("rows %v are marked, want the first chunk", rows)
+	}
+	value, err := p.EncodeRow(s, 0, testRowLimit)
+	if err != nil || string(value) != `{"parts":{"0":{"done":[3]}}}` {
+		t.Errorf("row %s, err %v; want only task 3", value, err)
+	}
+}
--- a/internal/workflowdaemon/sim_cases_test.go
+++ b/internal/workflowdaemon/sim_cases_test.go
@@ -202,6 +202,9 @@
 		for _, value := range []string{`{"parts":{"0":null,"-7":{"done":[9,-1]}}}`, `{"parts":{"0":null}}`, `[]`, "\xff", `null`, `{"parts":{"0":{"failed":{"5":null}}}}`} {
 			s.table.Put(Table, workflow.ProgressPrefix+id, []byte(value))
 			s.table.Put(Table, workflow.ProgressPrefix+"00000000000000aa", []byte(value))
+			for _, name := range []string{id + ".0", id + ".-1", id + ".9", id + ".x", id, "00000000000000aa.0", ""} {
+				s.table.Put(Table, workflow.ProgressChunkPrefix+name, []byte(value))
+			}
 			s.table.Put(Table, workflow.RecordPrefix+"00000000000000ab", []byte(value))
 			s.table.Put(Table, workflow.WorkerPrefix+"foreign", []byte(value))
 			s.table.Put(Table, workflow.EntryPrefix+"foreign", []byte(value))
