Announce an agent once to an owner that calls meanwhile

Cause: a call of a new owner canceled each call in progress, also the announcement to that same owner, which the agent had found by itself. The owner received the announcement twice, the first one possibly after the second.

Change: a call of the owner to which an announcement is in progress, or is about to begin, does not cancel it. If it fails, the agent announces itself again at once.

--- a/internal/agent/owner.go
+++ b/internal/agent/owner.go
@@ -43,8 +43,12 @@
 	// healthReceivedAt; nil if none. The agent stores it for the next owner.
 	health           *structs.WorkerHealth
 	healthReceivedAt time.Time
+	// announcing is the owner to which an announcement is in progress, with an empty
+	// address if there is none.
+	announcing structs.Owner
 	// caller is the newest owner that has called OwnerChanged and to which the agent
-	// has not announced itself yet. callCtx is canceled when an owner calls.
+	// has not announced itself yet. callCtx is canceled when an owner calls; a call of
+	// the owner in announcing cancels it only if the announcement fails.
 	caller        structs.Owner
 	callCtx       context.Context
 	cancelCallCtx context.CancelFunc
@@ -65,7 +69,31 @@
 		return
 	}
 	t.caller = owner
-	t.cancelCallCtx()
+	if owner.Epoch != t.announcing.Epoch || owner.Addr != t.announcing.Addr {
+		t.cancelCallCtx()
+	}
+}
+
+// beginAnnouncement records that an announcement to the owner is in progress. If that
+// owner has called since it was found, its call does not end the announcement.
+func (t *ownerTracker) beginAnnouncement(owner structs.Owner) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.announcing = owner
+	if t.caller.Addr == owner.Addr && t.caller.Epoch == owner.Epoch {
+		t.callCtx, t.cancelCallCtx = context.WithCancel(context.Background())
+	}
+}
+
+// endAnnouncement ends the announcement in progress. An owner that has called
+// meanwhile and is not the current one is announced to at once.
+func (t *ownerTracker) endAnnouncement() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.announcing = structs.Owner{}
+	if t.caller.Addr != "" {
+		t.cancelCallCtx()
+	}
 }
 
 // takeCaller returns the recorded caller and clears it. It returns false if there
@@ -259,6 +287,8 @@
 // accepted it. The caller must have recorded the owner's epoch before: a gang that
 // an older owner commits is then either in the report or refused.
 func (a *Agent) announce(owner structs.Owner) bool {
+	a.ownerTracker.beginAnnouncement(owner)
+	defer a.ownerTracker.endAnnouncement()
 	gangs, highest, draining := a.ledger.gangReports()
 	info := a.Info()
 	args := &structs.AnnounceArgs{Info: info, Draining: draining, HighestFence: highest, Gangs: gangs, Outcomes: a.outbox.heldGangs(), Health: a.ownerTracker.currentHealth(time.Now())}
--- a/internal/agent/owner_test.go
+++ b/internal/agent/owner_test.go
@@ -73,6 +73,62 @@
 	}
 }
 
+// slowOwner replies to announcements after a delay, and refuses the first ones.
+type slowOwner struct {
+	fakeOwner
+	delay   time.Duration
+	refuse  int
+	refused int
+}
+
+func (o *slowOwner) Announce(args *structs.AnnounceArgs, reply *structs.HeartbeatReply) error {
+	time.Sleep(o.delay)
+	o.mu.Lock()
+	refused := o.refused < o.refuse
+	if refused {
+		o.refused++
+	}
+	o.mu.Unlock()
+	if refused {
+		reply.Err = verdict.Refuse(verdict.CodeNotOwner, "not the owner yet")
+		return nil
+	}
+	return o.fakeOwner.Announce(args, reply)
+}
+
+// Guards against an agent that announces itself twice to an owner that calls while
+// the announcement to it is in progress, or that then waits after a refusal.
+func TestOwnerCallsDuringAnnouncement(t *testing.T) {
+	for _, refuse := range []int{0, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, 1, nil)
+			c.eventually("announced", func() bool {
+				announcements, _ := c.owner.received()
+				return len(announcements) == 1
+			})
+			next := &slowOwner{fakeOwner: fakeOwner{durable: true, owner: structs.Owner{Domain: "d", EntryID: "e2", Addr: "owner:2", Epoch: 2}},
+				delay: 100 * time.Millisecond, refuse: refuse}
+			c.net.mu.Lock()
+			c.net.services["owner:2/Peer"], c.net.services["owner:2/Domain"] = next, next
+			c.net.mu.Unlock()
+			for range 3 {
+				if err := c.ownerChanged(next.owner); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			time.Sleep(time.Duration(1+refuse)*next.delay - 50*time.Millisecond)
+			if owner, _ := c.agents[0].ownerTracker.current(); owner != next.owner {
+				t.Errorf("the agent follows %+v", owner)
+			}
+			time.Sleep(time.Second)
+			if announcements, _ := next.received(); len(announcements) != 1 || next.refused != refuse {
+				t.Errorf("%d announcements accepted and %d refused, want 1 and %d", len(announcements), next.refused, refuse)
+			}
+		})
+	}
+}
+
 func (c *cluster) ownerChanged(owner structs.Owner) error {
 	return c.call(agentAddr(0), "Agent.OwnerChanged", &structs.OwnerChangedArgs{Owner: owner}, &structs.OwnerChangedReply{})
 }
