Let the exit of the tests' worker end its calls in progress

Cause: the fake worker went on to answer a listing after its process had ended, up to a second later. The process of a worker resets its connections, and the agent then looks again at once. The bound of the test, 0.5 s, stays as it is.

Tests of answers that are still on their way keep them.

--- a/internal/workflowagent/harness_test.go
+++ b/internal/workflowagent/harness_test.go
@@ -25,6 +25,8 @@
 	silent     bool
 	// crashed makes all calls fail as if the worker's process did not exist.
 	crashed bool
+	// exited is closed by exit; nil for workers that are not to exit.
+	exited chan struct{}
 	// unansweredCalls is the number of further calls that are neither carried out nor
 	// answered.
 	unansweredCalls int
@@ -52,6 +54,14 @@
 
 func (w *fakeWorker) clock() time.Duration { return time.Since(w.clockStart) + time.Second }
 
+// exit ends the worker's process, and with it the calls in progress.
+func (w *fakeWorker) exit() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crashed = true
+	close(w.exited)
+}
+
 // injectFault returns the error of a call that fails, or nil.
 func (w *fakeWorker) injectFault(ctx context.Context) error {
 	w.mu.Lock()
@@ -143,6 +153,8 @@
 		select {
 		case <-ctx.Done():
 			return Listing{}, ctx.Err()
+		case <-w.exited:
+			return Listing{}, errors.New("connection reset")
 		case <-time.After(c.Wait):
 		}
 	}
@@ -256,7 +268,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		start := time.Now()
 		h := &harness{
-			worker: &fakeWorker{clockStart: time.Now(), running: map[workflow.RunID]bool{}, stopped: map[workflow.RunID]bool{}},
+			worker: &fakeWorker{exited: make(chan struct{}), clockStart: time.Now(), running: map[workflow.RunID]bool{}, stopped: map[workflow.RunID]bool{}},
 			owner:  &fakeOwner{epoch: 3},
 		}
 		h.agent = New(ctx, Options{
--- a/internal/workflowagent/leave_test.go
+++ b/internal/workflowagent/leave_test.go
@@ -38,9 +38,7 @@
 		time.Sleep(time.Second)
 		h.agent.Heartbeat(workflowrpc.Worker{ID: "w", Incarnation: 1, Draining: true}, "addr", 2)
 		h.agent.WorkerLeft("w")
-		h.worker.mu.Lock()
-		h.worker.crashed = true // its process ends once the leave is confirmed
-		h.worker.mu.Unlock()
+		h.worker.exit() // once the leave is confirmed
 		time.Sleep(500 * time.Millisecond)
 		if w := h.owner.lastReport().Worker; !w.Gone || w.End != workflowrpc.WorkerLeft {
 			t.Errorf("reported worker %+v, want one that has left", w)
