Report starts that reached the next incarnation of their worker

What callers would have seen: a task that runs on two workers, or again after it was done.

Cause: a call names the ID of a worker, under which the next incarnation serves as well. If the worker starts anew behind a partition, a start or an acknowledgement for the earlier incarnation reaches the next one. The agent reported the earlier one as gone while the next one ran the task, or made it forget an end that nobody had read.

Change: the session of the next incarnation takes over the starts that may have reached it, stops them and reports what has become of them; the end of the earlier incarnation is reported after that. After a failed call nothing is acknowledged until a listing has shown the incarnation. In the simulation calls reach whichever incarnation runs.

--- a/internal/workflowagent/agent.go
+++ b/internal/workflowagent/agent.go
@@ -89,7 +89,7 @@
 		if old != nil {
 			old.markGone("a newer incarnation has reported")
 		}
-		a.startSession(w, addr, seq)
+		a.startSession(w, addr, seq, old)
 		a.opts.Log.Event("worker_found", "worker", w.ID, "incarnation", w.Incarnation, "addr", addr, "draining", w.Draining,
 			"cpuMilli", w.Capacity.CPUMilli, "gpus", w.Capacity.GPUs, "rack", w.Rack)
 	case old.incarnation == w.Incarnation:
@@ -253,7 +253,7 @@
 	}
 	w.Unconfirmed, w.Draining, w.Gone, w.End = true, false, false, ""
 	a.opts.Log.Event("worker_expected", "worker", w.ID, "incarnation", w.Incarnation, "addr", w.Addr)
-	a.startSession(w, w.Addr, 0)
+	a.startSession(w, w.Addr, 0, nil)
 }
 
 // sameHost reports whether two addresses are on one machine. Only then does a refused
@@ -264,10 +264,13 @@
 	return errA == nil && errB == nil && hostA == hostB
 }
 
-// startSession starts a session for an incarnation of a worker that serves at addr. a.mu
-// must be held.
-func (a *Agent) startSession(w workflowrpc.Worker, addr string, seq uint64) {
+// startSession starts a session for an incarnation of a worker that serves at addr. earlier
+// is the session of the incarnation before, or nil. a.mu must be held.
+func (a *Agent) startSession(w workflowrpc.Worker, addr string, seq uint64, earlier *session) {
 	s := newSession(a, w, addr, seq)
+	if earlier != nil && earlier.incarnation < w.Incarnation {
+		s.takeStrayStarts(earlier)
+	}
 	a.sessions[w.ID] = s
 	a.wg.Go(func() { s.run(a.ctx) })
 }
--- a/internal/workflowagent/crash.go
+++ b/internal/workflowagent/crash.go
@@ -12,6 +12,7 @@
 // last answer is taken as the end of the worker if it turns out to have ended. s.mu must
 // be held.
 func (s *session) recordFailure(err error) {
+	s.recordAbsence(err)
 	if s.failedSince == 0 && !errors.Is(err, context.Canceled) {
 		s.failedSince = s.agent.opts.Clock()
 	}
--- a/internal/workflowagent/harness_test.go
+++ b/internal/workflowagent/harness_test.go
@@ -48,6 +48,10 @@
 	// lateStarts counts the start calls whose time limit ended while they waited.
 	lateStarts int
 	holds      int
+	// incarnation is named in listings.
+	incarnation int64
+	// acked is the highest Seq of an acknowledgement, also of another incarnation's ends.
+	acked uint64
 	// listLimit is the largest number of ends in a listing; 0 for no limit.
 	listLimit int
 }
@@ -161,13 +165,13 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.holds++
-	w.fence, w.lease = max(w.fence, c.Fence), max(w.lease, c.Deadline)
-	l := Listing{Answer: Answer{Clock: w.clock()}, Incarnation: 1}
+	w.fence, w.lease, w.acked = max(w.fence, c.Fence), max(w.lease, c.Deadline), max(w.acked, c.AckedEndSeq)
+	l := Listing{Answer: Answer{Clock: w.clock()}, Incarnation: w.incarnation}
 	for id := range w.running {
 		l.Running = append(l.Running, workflowrpc.Run{ID: id, State: workflowrpc.RunRunning})
 	}
 	for _, e := range w.ended {
-		if e.Seq > c.AckedEndSeq && (w.listLimit == 0 || len(l.Ended) < w.listLimit) {
+		if e.Seq > w.acked && (w.listLimit == 0 || len(l.Ended) < w.listLimit) {
 			l.Ended = append(l.Ended, e)
 		}
 	}
@@ -185,6 +189,7 @@
 	startOrders []workflowrpc.Start
 	stopOrders  []workflow.RunID
 	lastSync    workflowrpc.SyncArgs
+	reports     []workflowrpc.SyncArgs // all calls, in order of arrival
 	// reportAgain is the value of SyncReply.ReportAgain.
 	reportAgain bool
 	// noted is the value of SyncReply.Noted.
@@ -201,6 +206,7 @@
 	}
 	o.mu.Lock()
 	down := o.down
+	o.reports = append(o.reports, *sync)
 	o.mu.Unlock()
 	if down {
 		return verdict.Refuse(verdict.CodeUnavailable, "down")
@@ -252,6 +258,24 @@
 	suspended atomic.Int64
 }
 
+// restart makes the worker start anew under its ID.
+func (h *harness) restart() {
+	w := h.worker
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	clear(w.running)
+	clear(w.stopped)
+	w.incarnation++
+	w.ended, w.acked, w.fence, w.lease, w.clockStart = nil, 0, 0, 0, time.Now()
+}
+
+// setSilent sets whether calls to the worker are neither carried out nor answered.
+func (h *harness) setSilent(silent bool) {
+	h.worker.mu.Lock()
+	defer h.worker.mu.Unlock()
+	h.worker.silent = silent
+}
+
 // suspend simulates a suspension of the machine: it advances the worker's clock and
 // the agent's Options.Clock, but not time.Now.
 func (h *harness) suspend(d time.Duration) {
@@ -268,7 +292,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		start := time.Now()
 		h := &harness{
-			worker: &fakeWorker{exited: make(chan struct{}), clockStart: time.Now(), running: map[workflow.RunID]bool{}, stopped: map[workflow.RunID]bool{}},
+			worker: &fakeWorker{incarnation: 1, exited: make(chan struct{}), clockStart: time.Now(), running: map[workflow.RunID]bool{}, stopped: map[workflow.RunID]bool{}},
 			owner:  &fakeOwner{epoch: 3},
 		}
 		h.agent = New(ctx, Options{
--- a/internal/workflowagent/orders.go
+++ b/internal/workflowagent/orders.go
@@ -88,7 +88,7 @@
 		}
 		answer, err := sent.answer, sent.err
 		if errors.Is(err, ErrOtherIncarnation) {
-			s.markGone(err.Error())
+			s.markAbsent(err)
 			return
 		}
 		s.mu.Lock()
@@ -163,7 +163,7 @@
 		ID: order.ID, Payload: order.Payload, Checkpoint: order.Checkpoint, Ticket: order.Ticket, Fence: s.confirmedFence,
 		Deadline: s.workerClock(now) + startValidity,
 	}
-	s.lastStartSent = now
+	s.lastStartSent, r.startSentAt = now, time.Now()
 	if out.first = r.sentAt == 0; out.first {
 		r.sentAt = now
 	}
@@ -269,7 +269,7 @@
 			return true
 		}
 		if errors.Is(err, ErrOtherIncarnation) {
-			s.markGone(err.Error())
+			s.markAbsent(err)
 			return false
 		}
 		if delay == retryDelay {
--- a/internal/workflowagent/session.go
+++ b/internal/workflowagent/session.go
@@ -44,6 +44,8 @@
 	// sentAt is when the first start call was sent that the worker may have carried out,
 	// or else when a listing first showed the run; it is on the agent's clock, 0 for none.
 	sentAt time.Duration
+	// startSentAt is when the last start call was sent, zero for none.
+	startSentAt time.Time
 	// confirmedAt is when the worker confirmed the start, zero before. A listing that
 	// is requested later must have the run or its end.
 	confirmedAt time.Time
@@ -93,6 +95,19 @@
 	lastAnswer   time.Time // when the worker last answered
 	silent       bool      // no answer for silentAfter
 	gone         bool      // this incarnation of the worker has ended
+	// unverified is set from a failed call until the next listing. The worker may have
+	// started anew meanwhile.
+	unverified bool
+	// absentAt is when a call last showed that no process serves under the worker's ID.
+	absentAt time.Time
+	// goneAt is when gone was set, on the agent's clock. straysReported is set once a later
+	// session has reported the stray starts.
+	goneAt         time.Duration
+	straysReported bool
+	// earlier is the session of the incarnation before, nil if the agent knew none. strays are
+	// the runs taken over from it.
+	earlier *session
+	strays  []workflow.RunID
 	// failedSince is when the first call failed since the last answer, endedAt when the
 	// worker ended; both are on the agent's clock, 0 for none.
 	failedSince, endedAt time.Duration
@@ -139,6 +154,12 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { s.holdLoop(ctx) })
+	for _, id := range s.strays {
+		s.mu.Lock()
+		r := s.runs[id]
+		s.mu.Unlock()
+		wg.Go(func() { s.rejectRun(ctx, id, r, ReasonNoAnswer) })
+	}
 	s.syncLoop(ctx)
 	cancel()
 	s.agent.removeSession(s)
@@ -200,8 +221,11 @@
 	if s.gone {
 		return
 	}
-	s.gone = true
+	s.gone, s.goneAt = true, s.agent.opts.Clock()
 	s.recordEnd()
+	if s.awaitsStrayStarts() {
+		time.AfterFunc(s.longestLease(), func() { signal(s.reportNow) })
+	}
 	s.agent.opts.Log.Event("worker_gone", "worker", s.id, "incarnation", s.incarnation, "end", s.worker.End, "why", why, "runs", len(s.runs),
 		"detectedAfterMs", (s.agent.opts.Clock() - s.endedAt).Milliseconds())
 	signal(s.reportNow)
@@ -226,9 +250,10 @@
 		epoch := s.agent.currentEpoch()
 		s.mu.Lock()
 		wait := holdWait
-		if !s.listed || s.confirmedFence < epoch || s.lastEndSeq > s.ackedEndSeq || s.leaveAt != 0 {
+		if !s.listed || s.unverified || s.confirmedFence < epoch || s.lastEndSeq > s.ackedEndSeq || s.leaveAt != 0 {
 			wait = 0
 		}
+		relist := wait == 0 && !s.unverified
 		s.mu.Unlock()
 		select {
 		case <-s.holdNow:
@@ -242,14 +267,14 @@
 			retry.Sleep(ctx, retry.Jitter(2*retryDelay))
 			continue
 		}
-		if wait == 0 {
-			relist := time.NewTimer(relistDelay)
+		if relist {
+			timer := time.NewTimer(relistDelay)
 			select {
 			case <-s.holdNow:
-			case <-relist.C:
+			case <-timer.C:
 			case <-ctx.Done():
 			}
-			relist.Stop()
+			timer.Stop()
 		}
 	}
 }
@@ -262,7 +287,10 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+holdTimeout)
 	defer cancel()
 	s.mu.Lock()
-	call := HoldCall{Fence: epoch, AckedEndSeq: s.ackedEndSeq, Wait: wait, Deadline: s.leaseDeadline()}
+	call := HoldCall{Fence: epoch, Wait: wait, Deadline: s.leaseDeadline()}
+	if !s.unverified {
+		call.AckedEndSeq = s.ackedEndSeq // the numbers of another incarnation's ends differ
+	}
 	s.cancelHold = cancel
 	s.mu.Unlock()
 	sent := time.Now()
@@ -272,11 +300,12 @@
 		return err
 	}
 	if l.Incarnation != 0 && l.Incarnation != s.incarnation {
-		return ErrOtherIncarnation
+		return errStartedAnew
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.recordAnswer(l.Clock)
+	s.unverified = false
 	if l.Rejected != "" {
 		// The worker has seen a higher token, of an owner unknown to this agent.
 		s.agent.opts.Log.Event("hold_rejected", "worker", s.id, "reason", l.Rejected, "epoch", epoch)
@@ -295,7 +324,7 @@
 func (s *session) holdFailed(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.renewalUnanswered = true
+	s.renewalUnanswered, s.unverified = true, s.unverified || !errors.Is(err, context.Canceled)
 	s.recordFailure(err)
 	switch {
 	case !errors.Is(err, ErrNotListening):
@@ -395,7 +424,7 @@
 // its clock is as slow as allowed. s.mu must be held.
 func (s *session) leasesExpired() bool {
 	since := max(s.leaseBase, s.lastStartSent)
-	return s.silent && s.agent.opts.Clock()-since > time.Duration(float64(s.agent.opts.Lease)/(1-maxClockSlowness))+timerSlack
+	return s.silent && s.agent.opts.Clock()-since > s.longestLease()
 }
 
 // timerSlack allows for timers that fire late.
--- a/internal/workflowagent/sync.go
+++ b/internal/workflowagent/sync.go
@@ -76,12 +76,13 @@
 }
 
 // nextSyncArgs returns the arguments of the next call to the owner. It returns false
-// until the worker has listed its runs once, unless the worker is gone.
+// until the worker has listed its runs once, unless the worker is gone, and while the end of
+// the worker must not be reported yet.
 func (s *session) nextSyncArgs() (*workflowrpc.SyncArgs, bool) {
 	epoch, entries := s.agent.currentEpoch(), s.agent.currentEntriesVersion()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.listed && !s.gone {
+	if !s.listed && !s.gone || s.gone && s.awaitsStrayStarts() {
 		return nil, false
 	}
 	s.syncSeq++
@@ -138,6 +139,10 @@
 		return false
 	}
 	s.processedSeq = r.seq
+	if s.earlier != nil {
+		s.earlier.settleStrayStarts()
+		s.earlier = nil
+	}
 	s.ownerContact = max(s.ownerContact, r.sent)
 	if s.gone {
 		// A call that was sent before the end does not tell the owner of it.
--- a/internal/workflowdaemon/sim_cases_test.go
+++ b/internal/workflowdaemon/sim_cases_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -231,3 +232,22 @@
 	s.t.Errorf("job %s has not ended", id)
 	return ""
 }
+
+// TestStartsBehindCuts guards against a second run of a task whose start, or whose end's
+// acknowledgement, reached another incarnation of the worker than the one it was meant for.
+func TestStartsBehindCuts(t *testing.T) {
+	runScenario(t, func(s *sim) {
+		const jobs, rounds = 40, 16
+		s.eachWorker(func(w *simWorker) { w.reliable = true })
+		for i := range jobs {
+			s.mustSubmit(s.randomEntry(), fmt.Sprintf("%016x", i), workflow.Spec{Payload: "x", Steps: []workflow.Step{{Tasks: 60, Need: smallTask, Estimate: 800}}})
+		}
+		for range rounds {
+			s.restartBehindCut(s.randomWorker())
+			s.sleep(2 * time.Second)
+		}
+		for i := range jobs {
+			s.expectState(fmt.Sprintf("%016x", i), workflow.StateCompleted)
+		}
+	})
+}
--- a/internal/workflowdaemon/sim_faults_test.go
+++ b/internal/workflowdaemon/sim_faults_test.go
@@ -101,6 +101,22 @@
 	}
 }
 
+// restartBehindCut cuts a worker off from its agent for up to 1.4 s, in which it starts anew
+// under its ID.
+func (s *sim) restartBehindCut(w *simWorker) {
+	setCut := func(cut bool) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.cut = cut
+	}
+	setCut(true)
+	s.sleep(time.Duration(s.lateRng.IntN(700)) * time.Millisecond)
+	w.crash()
+	w.reboot()
+	s.sleep(time.Duration(s.lateRng.IntN(700)) * time.Millisecond)
+	setCut(false)
+}
+
 // lateHeartbeatSeq is above the numbers of all other heartbeats.
 const lateHeartbeatSeq = 1 << 40
 
--- a/internal/workflowdaemon/sim_test.go
+++ b/internal/workflowdaemon/sim_test.go
@@ -141,7 +141,7 @@
 func (s *sim) sendHeartbeats(w *simWorker) {
 	for seq := uint64(1); s.ctx.Err() == nil; seq++ {
 		w.mu.Lock()
-		up := w.up
+		up := w.up && !w.cut
 		w.mu.Unlock()
 		s.mu.Lock()
 		agent := s.agents[w.id]
--- a/internal/workflowdaemon/sim_worker_test.go
+++ b/internal/workflowdaemon/sim_worker_test.go
@@ -64,6 +64,8 @@
 	// kernel refuses connections.
 	refusing bool
 	reliable bool // no run fails by itself
+	// cut is set while neither calls nor heartbeats pass between the worker and its agent.
+	cut bool
 	// listLimit is the number of ends in a listing. It is small, so that a simulated outage
 	// of the store lasts longer than the ends that a worker lists.
 	listLimit int
@@ -128,13 +130,17 @@
 // stopped worker.
 func (w *simWorker) maybeLoseCall(ctx context.Context, later func()) error {
 	w.mu.Lock()
-	up, refusing, lose := w.up, w.refusing, w.rng.Float64() < w.lostCallShare
+	up, refusing, cut, lose := w.up, w.refusing, w.cut, w.rng.Float64() < w.lostCallShare
 	delay := 2*time.Second + time.Duration(w.rng.Int64N(int64(10*time.Second)))
 	carriedOut := w.rng.Float64() < 0.7
 	w.mu.Unlock()
 	if refusing {
 		return workflowagent.ErrNotListening
 	}
+	if cut {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	if up && !lose {
 		return nil
 	}
@@ -157,7 +163,7 @@
 	if err := c.worker.maybeLoseCall(ctx, func() { c.worker.startRun(c.incarnation, s, true) }); err != nil {
 		return workflowagent.Answer{}, err
 	}
-	return c.worker.startRun(c.incarnation, s, false)
+	return c.worker.startRun(c.worker.currentIncarnation(), s, false)
 }
 
 // startRun carries out a Start call. late is set if the caller got no answer.
@@ -314,7 +320,13 @@
 	if err := c.worker.maybeLoseCall(ctx, func() { c.worker.stopRun(c.incarnation, id, fence) }); err != nil {
 		return workflowagent.Answer{}, err
 	}
-	return c.worker.stopRun(c.incarnation, id, fence)
+	return c.worker.stopRun(c.worker.currentIncarnation(), id, fence)
+}
+
+func (w *simWorker) currentIncarnation() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.incarnation
 }
 
 func (w *simWorker) stopRun(incarnation int64, id workflow.RunID, fence uint64) (workflowagent.Answer, error) {
@@ -372,7 +384,7 @@
 	if err := w.maybeLoseCall(ctx, func() { w.applyHold(c.incarnation, h) }); err != nil {
 		return workflowagent.Listing{}, err
 	}
-	if !w.applyHold(c.incarnation, h) {
+	if !w.applyHold(c.worker.currentIncarnation(), h) {
 		return workflowagent.Listing{}, workflowagent.ErrOtherIncarnation
 	}
 	w.mu.Lock()
@@ -395,7 +407,7 @@
 	if w.refusing {
 		return workflowagent.Listing{}, errors.New("connection reset")
 	}
-	if w.incarnation != c.incarnation || !w.up {
+	if !w.up {
 		return workflowagent.Listing{}, workflowagent.ErrOtherIncarnation
 	}
 	if h.Fence < w.highestFence {
