Keep the row size that the settings name

Cause: the size of the largest row was a constant, and rowBytes of the settings was not read. On a deployment with a smaller one the store refuses the rows of jobs that were accepted.

--- a/cmd/parsleypierd/hosted.go
+++ b/cmd/parsleypierd/hosted.go
@@ -95,6 +95,7 @@
 	pool := rpc.NewPool("", s.Process, nil)
 	e := workflowdaemon.NewEntry(workflowdaemon.EntryOptions{
 		ID: s.Process, RPCAddr: s.RPCAddr, Seeds: s.Seeds, Zone: s.Zone, MilliCores: s.MilliCores, StoreCall: platform.NewStoreCallFunc(s.StoreAddr), NewStore: newStore,
+		MaxRowBytes:   s.MaxRowBytes,
 		OperatorTable: platform.OperatorTable, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig, MaxConfigAge: s.Bounds.ApplyLimit, Log: log,
 		Caller: pool, Advisor: platform.NewAdvisor(s.AdviceAddr), Clock: boottime.Now, ProcessGone: workflowdaemon.ProcessGone,
 		Times: workflowowner.Times{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -39,6 +40,9 @@
 	Mirror *rowstore.Mirror
 	Table  string
 	Log    *eventlog.Log
+	// MaxRowBytes is the size of the largest value that the store keeps; 0 for
+	// rowstore.MaxRowBytes.
+	MaxRowBytes int
 	// UnixMillis returns the wall clock time.
 	UnixMillis func() int64
 	// OnWrite is called with each row that the gateway has written; nil for nothing.
@@ -66,7 +70,10 @@
 }
 
 // New returns a gateway with no jobs. Rows are passed to it with Observe.
-func New(o Options) *Gateway { return &Gateway{opts: o, jobs: map[string]*jobState{}} }
+func New(o Options) *Gateway {
+	o.MaxRowBytes = cmp.Or(o.MaxRowBytes, rowstore.MaxRowBytes)
+	return &Gateway{opts: o, jobs: map[string]*jobState{}}
+}
 
 // Observe updates the cached jobs from changed rows of the table.
 func (g *Gateway) Observe(rows []rowstore.Row) {
@@ -183,8 +190,8 @@
 	if err != nil {
 		return verdict.Refuse(verdict.CodeInternal, "encode job: %v", err)
 	}
-	if len(value) > rowstore.MaxRowBytes {
-		return verdict.Refuse(verdict.CodeTooLarge, "the job takes %d bytes, at most %d are stored", len(value), rowstore.MaxRowBytes)
+	if len(value) > g.opts.MaxRowBytes {
+		return verdict.Refuse(verdict.CodeTooLarge, "the job takes %d bytes, at most %d are stored", len(value), g.opts.MaxRowBytes)
 	}
 	key, version, err := g.createRow(ctx, value, workflow.RecordPrefix+id, workflow.SpareRecordPrefix+id)
 	var conflict *rowstore.Conflict
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -225,6 +225,21 @@
 	})
 }
 
+// TestJobAboveRowLimitOfDeploymentIsRefused guards against accepting a job whose record is
+// above a limit of the deployment that is lower than the usual one.
+func TestJobAboveRowLimitOfDeploymentIsRefused(t *testing.T) {
+	withTwoGateways(t, func(ctx context.Context, store *rowstorestub.Table, _, _ *Gateway) {
+		store.MaxValueBytes = 4 << 10
+		g := New(Options{Store: store.ClientFor("c"), Mirror: rowstore.NewMirror(store.ClientFor("c"), tableName, eventlog.Discard(), nil), Table: tableName,
+			MaxRowBytes: store.MaxValueBytes, Log: eventlog.Discard(), UnixMillis: func() int64 { return 1 }})
+		spec := workflow.Spec{Steps: []workflow.Step{{Tasks: 1, Label: strings.Repeat("l", store.MaxValueBytes)}}}
+		err := g.Submit(ctx, testQueue, "x", jobID, spec)
+		if !verdict.HasCode(err, verdict.CodeTooLarge) || verdict.Of(err) != verdict.NotRun || store.Refused() > 0 {
+			t.Errorf("error %v and %d refused calls, want too large, not run and none", err, store.Refused())
+		}
+	})
+}
+
 // TestJobThatCannotBeKeptIsRefused guards against accepting a job whose record or progress
 // the store would refuse, and against asking its client to try again.
 func TestJobThatCannotBeKeptIsRefused(t *testing.T) {
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -57,8 +57,8 @@
 }
 
 // Limits of the store, which refuses for good what exceeds them. MaxTxnBytes limits the
-// bytes of the call that sends a transaction, MaxRowBytes those of a row's value and
-// MaxKeyBytes those of its key.
+// bytes of the call that sends a transaction, MaxKeyBytes those of a row's key. MaxRowBytes
+// limits those of its value where the deployment does not set another limit.
 const (
 	MaxTxnEntries = 100
 	MaxTxnBytes   = 1_000_000
--- a/internal/rowstorestub/limits.go
+++ b/internal/rowstorestub/limits.go
@@ -1,6 +1,7 @@
 package rowstorestub
 
 import (
+	"cmp"
 	"context"
 	"encoding/base64"
 	"time"
@@ -42,7 +43,7 @@
 		entries++
 		size += len(table) + len(key) + base64.StdEncoding.EncodedLen(len(value))
 		switch {
-		case len(table) > maxNameBytes || len(key) > maxNameBytes || len(value) > maxValueBytes:
+		case len(table) > maxNameBytes || len(key) > maxNameBytes || len(value) > cmp.Or(t.MaxValueBytes, maxValueBytes):
 			err = verdict.Refuse(verdict.CodeBadRequest, "row %.40s of table %.40s has %d bytes, its key %d", key, table, len(value), len(key))
 		case write && t.ReadOnly[table]:
 			err = verdict.Refuse(verdict.CodeBadRequest, "table %s is read-only", table)
--- a/internal/rowstorestub/rowstorestub.go
+++ b/internal/rowstorestub/rowstorestub.go
@@ -54,6 +54,9 @@
 	// only Put may write. Both must be set before use.
 	Rates    Rates
 	ReadOnly map[string]bool
+	// MaxValueBytes limits the values of rows; 0 for the limit of the users' store. It must
+	// be set before use.
+	MaxValueBytes int
 	// Partition returns the partition of a row; nil means a single partition. It
 	// must be set before use. Transactions over several partitions are refused.
 	Partition func(key string) string
--- a/internal/workflowdaemon/entry.go
+++ b/internal/workflowdaemon/entry.go
@@ -66,6 +66,9 @@
 	// calls through the given function.
 	StoreCall rowstore.CallFunc
 	NewStore  func(rowstore.CallFunc) rowstore.Store
+	// MaxRowBytes is the size of the largest value that the store keeps; 0 for
+	// rowstore.MaxRowBytes.
+	MaxRowBytes int
 	// OperatorTable and ConfigKey identify the row of the operator's configuration.
 	OperatorTable, ConfigKey string
 	DecodeConfig             func([]byte) (*gateway.Config, error)
@@ -125,7 +128,7 @@
 	e.tableMirror = rowstore.NewMirror(e.store, Table, o.Log, e.applyRows)
 	e.tableMirror.Pace, e.tableMirror.Clock = e.feedDelay, o.Clock
 	e.config = newConfigWatch(o, e.Config, e.peerAddrsOrSeeds)
-	e.Gateway = gateway.New(gateway.Options{Store: e.store, Mirror: e.tableMirror, Table: Table, Log: o.Log, UnixMillis: unixMillis, OnWrite: e.sendToOwner})
+	e.Gateway = gateway.New(gateway.Options{Store: e.store, Mirror: e.tableMirror, Table: Table, MaxRowBytes: o.MaxRowBytes, Log: o.Log, UnixMillis: unixMillis, OnWrite: e.sendToOwner})
 	e.elector = election.New(election.Options{
 		Store: e.store, Mirror: e.tableMirror, Table: Table, Log: o.Log, Clock: o.Clock,
 		Self:        election.Holder{ID: o.ID, Addr: o.RPCAddr, Incarnation: time.Now().UnixNano()},
@@ -256,7 +259,7 @@
 // startOwner starts the owner for a term that this entry has won.
 func (e *Entry) startOwner(term election.Term) {
 	o := workflowowner.New(workflowowner.Options{
-		ID: e.opts.ID, Addr: e.opts.RPCAddr, Epoch: term.Epoch, Version: term.Version, Store: e.store, Mirror: e.tableMirror, Table: Table,
+		ID: e.opts.ID, Addr: e.opts.RPCAddr, Epoch: term.Epoch, Version: term.Version, Store: e.store, Mirror: e.tableMirror, Table: Table, MaxRowBytes: e.opts.MaxRowBytes,
 		Config: e.Config, Caller: e.opts.Caller, Advisor: e.opts.Advisor, Log: e.opts.Log, Entries: e.entries.sortedAddrs, Authority: e.mayDecide,
 		OnHigherEpoch: e.elector.NoticeEpoch, OnFencedWrite: e.elector.NoticeFencedWrite, Clock: e.opts.Clock, Decide: workflowscheduler.Decide, Times: e.opts.Times, UnixMillis: unixMillis,
 	})
--- a/internal/workflowowner/large_job_test.go
+++ b/internal/workflowowner/large_job_test.go
@@ -124,8 +124,8 @@
 // TestProgressOfLargeJobIsStored guards against a job whose progress outgrows a row of the
 // store: the owner then stored nothing any more, of no job.
 func TestProgressOfLargeJobIsStored(t *testing.T) {
-	for _, c := range []struct{ tasks, occurrences int }{{470, 8}, {workflow.MaxTasks, 1}} {
-		runOwner(t, func(*harness) {}, func(r *harness) {
+	for _, c := range []struct{ tasks, occurrences, maxRowBytes int }{{470, 8, 0}, {workflow.MaxTasks, 1, 0}, {470, 8, 4 << 10}} {
+		runOwner(t, func(r *harness) { r.table.MaxValueBytes = c.maxRowBytes }, func(r *harness) {
 			spec := r.submitLarge(c.tasks, c.occurrences)
 			w := r.newTestWorker("w", stopOnce)
 			for n := 0; n < 400 && r.storedState(testJob) == ""; n++ {
--- a/internal/workflowowner/owner.go
+++ b/internal/workflowowner/owner.go
@@ -14,6 +14,7 @@
 package workflowowner
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"sync"
@@ -55,8 +56,11 @@
 	Store   rowstore.Store
 	Mirror  *rowstore.Mirror
 	Table   string
-	Config  Config
-	Caller  Caller
+	// MaxRowBytes is the size of the largest value that the store keeps; 0 for
+	// rowstore.MaxRowBytes.
+	MaxRowBytes int
+	Config      Config
+	Caller      Caller
 	// Advisor is the placement advice service; nil if the deployment has none.
 	Advisor Advisor
 	Log     *eventlog.Log
@@ -159,6 +163,7 @@
 
 // New returns an owner that is inactive until Start is called.
 func New(o Options) *Owner {
+	o.MaxRowBytes = cmp.Or(o.MaxRowBytes, rowstore.MaxRowBytes)
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Owner{
 		opts: o, startedAt: time.Now(), ctx: ctx, cancel: cancel, jobs: map[string]*job{}, workers: map[string]*worker{},
--- a/internal/workflowowner/owner_test.go
+++ b/internal/workflowowner/owner_test.go
@@ -90,7 +90,7 @@
 		})
 		began := time.Now()
 		r.owner = New(Options{
-			ID: "owner", Addr: "owner", Epoch: 2, Version: version, Store: store, Mirror: mirror, Table: testTable,
+			ID: "owner", Addr: "owner", Epoch: 2, Version: version, Store: store, Mirror: mirror, Table: testTable, MaxRowBytes: r.table.MaxValueBytes,
 			Config: r.config, Advisor: r.advisor, Caller: r.caller, Log: eventlog.Discard(), Entries: func() ([]string, uint64) { return nil, 0 },
 			Authority: func() bool { return r.authority }, OnHigherEpoch: func(uint64) { r.authority = false },
 			OnFencedWrite: func(uint64, time.Duration) { r.fencedWrites++ }, Clock: func() time.Duration { return time.Since(began) },
--- a/internal/workflowowner/progress_rows.go
+++ b/internal/workflowowner/progress_rows.go
@@ -136,7 +136,7 @@
 // progressEntries returns the entries that write a row of a job's progress.
 func (o *Owner) progressEntries(j *job, row int) (rowstore.Txn, error) {
 	var txn rowstore.Txn
-	value, err := j.progress.EncodeRow(&j.record.Spec, row, rowstore.MaxRowBytes)
+	value, err := j.progress.EncodeRow(&j.record.Spec, row, o.opts.MaxRowBytes)
 	if err != nil {
 		return txn, err
 	}
