Send a record that the store has refused for good only once

Cause: a record that the first partition refused for its content was sent to the spare one.

Change: no further key is tried, and the write is not repeated.

Evidence: before the change gateway_test.go:251: error bad_request: row spare-job/... of table t has 4279 bytes ... and 2 refused calls, want a refusal for good, not run and 1 Passes now.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -259,7 +259,7 @@
 		if verdict.Of(r.err) != verdict.NotRun {
 			outcome = verdict.MayHaveRun
 		}
-		if outcome == verdict.NotRun || g.opts.Mirror.StoreLost() || !retry.Sleep(ctx, retry.Jitter(2*meanRetryDelay)) {
+		if outcome == verdict.NotRun || rowstore.RefusedForGood(r.err) || g.opts.Mirror.StoreLost() || !retry.Sleep(ctx, retry.Jitter(2*meanRetryDelay)) {
 			return "", 0, verdict.From(r.err).WithVerdict(outcome).WithRetryAfter(outageRetryAfter)
 		}
 	}
@@ -273,8 +273,8 @@
 }
 
 // createOnce writes the row under the first key, and under each further one once the write
-// before it has failed or has been without an answer for spareWriteDelay. It returns the
-// first success or conflict. Otherwise it returns the last error, with the verdict
+// before it has failed or has been without an answer for spareWriteDelay. A value that the
+// store has refused for good is not sent again. It returns the first success or conflict. Otherwise it returns the last error, with the verdict
 // MayHaveRun if one of the writes may take effect.
 func (g *Gateway) createOnce(ctx context.Context, value []byte, keys []string) writeResult {
 	results := make(chan writeResult, len(keys))
@@ -300,6 +300,9 @@
 			if verdict.Of(last.err) != verdict.NotRun {
 				outcome = verdict.MayHaveRun
 			}
+			if rowstore.RefusedForGood(last.err) {
+				keys = keys[:started]
+			}
 		case <-patience:
 			key := keys[started]
 			started++
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -240,6 +240,19 @@
 	})
 }
 
+// TestRefusedRecordIsSentOnce guards against sending a record again, under another key, that
+// the store has refused for its size.
+func TestRefusedRecordIsSentOnce(t *testing.T) {
+	withTwoGateways(t, func(ctx context.Context, store *rowstorestub.Table, a, _ *Gateway) {
+		store.MaxValueBytes = 4 << 10
+		spec := workflow.Spec{Steps: []workflow.Step{{Tasks: 1, Label: strings.Repeat("l", store.MaxValueBytes)}}}
+		err := a.Submit(ctx, testQueue, "x", jobID, spec)
+		if !rowstore.RefusedForGood(err) || verdict.Of(err) != verdict.NotRun || store.Refused() != 1 {
+			t.Errorf("error %v and %d refused calls, want a refusal for good, not run and 1", err, store.Refused())
+		}
+	})
+}
+
 // TestJobThatCannotBeKeptIsRefused guards against accepting a job whose record or progress
 // the store would refuse, and against asking its client to try again.
 func TestJobThatCannotBeKeptIsRefused(t *testing.T) {
