Apply the first report of a new incarnation as a whole

Cause: the first call about a worker that had started anew ended the runs of its earlier incarnation, also if its report was not applied because the worker had not been fenced yet.

Change: such a call only tells the agent the epoch. The report that follows ends the runs of the earlier incarnation and adopts those of the new one in one step.

--- a/internal/workflowowner/takeover_test.go
+++ b/internal/workflowowner/takeover_test.go
@@ -116,6 +116,33 @@
 	})
 }
 
+// TestRunOfRestartedWorkerIsAdopted guards against a second run of a task that the next
+// incarnation of its worker runs: the first call about that one comes before the worker has
+// been fenced, and its report is not applied.
+func TestRunOfRestartedWorkerIsAdopted(t *testing.T) {
+	runOwner(t, func(r *harness) {
+		r.submit(testJob, newStep(1))
+		r.putWorkerRow("old", "10.0.0.2:80", 1)
+	}, func(r *harness) {
+		running := func(fence uint64) func(*workflowrpc.SyncArgs) {
+			return func(a *workflowrpc.SyncArgs) {
+				a.Fence, a.Wait = fence, 10*time.Millisecond
+				a.Runs = []workflowrpc.Run{{ID: workflow.RunID{Task: workflow.TaskID{Job: testJob}, Attempt: 1}, State: workflowrpc.RunRunning}}
+			}
+		}
+		r.report("old", "10.0.0.2:80", 2, running(1))
+		if got := r.awaitStarts("w", "10.0.0.1:80", 1, 500*time.Millisecond); len(got) != 0 {
+			t.Fatalf("starts %v on another worker before the report is applied", got)
+		}
+		for range 20 {
+			r.report("old", "10.0.0.2:80", 2, running(2))
+			if got := r.awaitStarts("w", "10.0.0.1:80", 1, 50*time.Millisecond); len(got) != 0 {
+				t.Fatalf("starts %v on another worker while the task runs", got)
+			}
+		}
+	})
+}
+
 // TestInheritedJobWaitsForUnlistedEnds guards against a second run of a task that has ended
 // on a worker behind more ends than it lists at a time: its restarted agent does not know of
 // the run, and the new owner neither.
--- a/internal/workflowowner/worker.go
+++ b/internal/workflowowner/worker.go
@@ -225,6 +225,9 @@
 		o.syncEnded(args, reply, deadline.C)
 		return
 	}
+	if known := o.workers[args.Worker.ID]; known != nil && args.Worker.Incarnation > known.incarnation && args.Fence != o.opts.Epoch && !args.Worker.Lapsed {
+		return // the runs of the earlier incarnation end with the first report that is applied
+	}
 	wasUsable := o.usable(o.workers[args.Worker.ID])
 	w, current := o.acceptCall(args)
 	if !current {
