Keep the stray starts beside the runs of the session

By reading: the first listing of the next incarnation may have the end of a stray start, and removes its run before the loop over the stray starts has read it. The agent then used a run that does not exist.

Change: the session keeps the runs that it has taken over.

--- a/internal/workflowagent/session.go
+++ b/internal/workflowagent/session.go
@@ -107,7 +107,7 @@
 	// earlier is the session of the incarnation before, nil if the agent knew none. strays are
 	// the runs taken over from it.
 	earlier *session
-	strays  []workflow.RunID
+	strays  map[workflow.RunID]*localRun
 	// failedSince is when the first call failed since the last answer, endedAt when the
 	// worker ended; both are on the agent's clock, 0 for none.
 	failedSince, endedAt time.Duration
@@ -154,10 +154,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { s.holdLoop(ctx) })
-	for _, id := range s.strays {
-		s.mu.Lock()
-		r := s.runs[id]
-		s.mu.Unlock()
+	for id, r := range s.strays {
 		wg.Go(func() { s.rejectRun(ctx, id, r, ReasonNoAnswer) })
 	}
 	s.syncLoop(ctx)
--- a/internal/workflowagent/stray.go
+++ b/internal/workflowagent/stray.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"time"
 
+	"github.com/parsleypier/parsleypier/internal/workflow"
 	"github.com/parsleypier/parsleypier/internal/workflowrpc"
 )
 
@@ -34,13 +36,13 @@
 func (s *session) takeStrayStarts(earlier *session) {
 	earlier.mu.Lock()
 	defer earlier.mu.Unlock()
-	s.earlier = earlier
+	s.earlier, s.strays = earlier, map[workflow.RunID]*localRun{}
 	for id, r := range earlier.runs {
 		if earlier.isStray(r) {
-			s.runs[id] = &localRun{state: workflowrpc.RunStarting, startUnanswered: true, stopRequested: true}
-			s.strays = append(s.strays, id)
+			s.strays[id] = &localRun{state: workflowrpc.RunStarting, startUnanswered: true, stopRequested: true}
 		}
 	}
+	maps.Copy(s.runs, s.strays)
 	if len(s.strays) > 0 {
 		s.agent.opts.Log.Event("starts_strayed", "worker", s.id, "incarnation", s.incarnation, "before", earlier.incarnation, "runs", len(s.strays))
 	}
