--- a/internal/workflowdaemon/sim_client_test.go
+++ b/internal/workflowdaemon/sim_client_test.go
@@ -146,9 +146,9 @@
 		}
 	case workflow.StateFailed:
 		most := 0
-		for t, attempts := range s.history.failed {
+		for t := range s.history.failed {
 			if t.Job == id {
-				most = max(most, len(attempts))
+				most = max(most, s.history.failedAttempts(t))
 			}
 		}
 		if most < simMaxAttempts && s.history.mostCrashes(id) < minSimCrashes {
--- a/internal/workflowdaemon/sim_history_test.go
+++ b/internal/workflowdaemon/sim_history_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/parsleypier/parsleypier/internal/workflow"
+	"github.com/parsleypier/parsleypier/internal/workflowrpc"
 )
 
 // history records what the workers of a simulation do and checks it against rules:
@@ -33,8 +35,11 @@
 	// leases expired before the end was acknowledged.
 	done      map[workflow.TaskID]bool
 	discarded map[workflow.TaskID]bool
-	// failed holds the failed attempts of each task, or of a gang under index 0.
-	failed map[workflow.TaskID]map[int]bool
+	// failed holds the failed runs of each task, or of a gang under index 0. lostFailures
+	// holds those whose end nobody can take note of any more: their worker crashed or its
+	// leases expired before the end was acknowledged.
+	failed       map[workflow.TaskID][]workflow.RunID
+	lostFailures map[workflow.RunID]bool
 	// crashing has the tasks that crash each worker that starts them, with the number of
 	// crashes so far. startsAfterCrashes counts their starts after maxSimCrashes of them.
 	crashing           map[workflow.TaskID]int
@@ -48,7 +53,7 @@
 	return &history{
 		startedAt: time.Now(), specs: map[string]workflow.Spec{}, cancelled: map[string]time.Time{}, refused: map[string]bool{},
 		active: map[workflow.TaskID][]*simRun{}, done: map[workflow.TaskID]bool{},
-		discarded: map[workflow.TaskID]bool{}, failed: map[workflow.TaskID]map[int]bool{},
+		discarded: map[workflow.TaskID]bool{}, failed: map[workflow.TaskID][]workflow.RunID{}, lostFailures: map[workflow.RunID]bool{},
 		ends: map[workflow.EndKind]int{}, crashing: map[workflow.TaskID]int{}, startsAfterCrashes: map[workflow.TaskID]int{},
 	}
 }
@@ -83,8 +88,8 @@
 			}
 		}
 	}
-	if n := len(h.failed[h.failureUnit(t)]); n >= simMaxAttempts {
-		h.addViolation("BUDGET: %s started after %d failed attempts", r.id, n)
+	if unit := h.failureUnit(t); h.failedAttempts(unit) >= simMaxAttempts {
+		h.addViolation("BUDGET: %s started after %d failed attempts: %s", r.id, h.failedAttempts(unit), h.describeFailures(unit))
 	}
 	if n := h.crashing[t]; n >= maxSimCrashes {
 		if h.startsAfterCrashes[t]++; h.startsAfterCrashes[t] >= maxStartsAfterCrashes {
@@ -109,10 +114,7 @@
 		delete(h.discarded, t)
 	case workflow.EndFailed:
 		unit := h.failureUnit(t)
-		if h.failed[unit] == nil {
-			h.failed[unit] = map[int]bool{}
-		}
-		h.failed[unit][r.id.Attempt] = true
+		h.failed[unit] = append(h.failed[unit], r.id)
 	}
 }
 
@@ -141,11 +143,41 @@
 	return t
 }
 
-// discardEnd marks the end of a task as discarded: it may start again.
-func (h *history) discardEnd(t workflow.TaskID) {
+// failedAttempts returns the number of failed attempts of a failure unit. The caller holds
+// mu.
+func (h *history) failedAttempts(unit workflow.TaskID) int {
+	attempts := map[int]bool{}
+	for _, id := range h.failed[unit] {
+		attempts[id.Attempt] = true
+	}
+	return len(attempts)
+}
+
+// describeFailures lists the failed runs of a failure unit, and which of them nobody can take
+// note of any more. The caller holds mu.
+func (h *history) describeFailures(unit workflow.TaskID) string {
+	var out []string
+	for _, id := range h.failed[unit] {
+		s := id.String()
+		if h.lostFailures[id] {
+			s += " (end lost)"
+		}
+		out = append(out, s)
+	}
+	return strings.Join(out, ", ")
+}
+
+// discardEnd marks the end of a run, done or failed, as one that has not been acknowledged
+// and will not be: the task may start again.
+func (h *history) discardEnd(end workflowrpc.End) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.discarded[t] = true
+	switch end.Kind {
+	case workflow.EndDone:
+		h.discarded[end.ID.Task] = true
+	case workflow.EndFailed:
+		h.lostFailures[end.ID] = true
+	}
 }
 
 // Limits of the simulated platform.
--- a/internal/workflowdaemon/sim_worker_test.go
+++ b/internal/workflowdaemon/sim_worker_test.go
@@ -52,9 +52,9 @@
 	finishedAttempt map[workflow.TaskID]int // highest attempt that has been stopped or has ended
 	unackedEnds     []workflowrpc.End
 	ackedSeq        uint64
-	// unackedDone holds the tasks of unacknowledged ends of kind done, by sequence
-	// number.
-	unackedDone map[uint64]workflow.TaskID
+	// discardable holds the unacknowledged ends that a crash or the end of the leases
+	// discards, by sequence number.
+	discardable map[uint64]workflowrpc.End
 	changed     chan struct{} // closed and replaced when a run ends or the worker stops
 	// lostCallShare is the share of calls that get no answer and may be carried out
 	// later.
@@ -89,7 +89,7 @@
 	w.incarnation, w.bootedAt, w.up, w.refusing = now.UnixMilli(), now, true, false
 	w.highestFence, w.leaseEnd, w.ackedSeq = 0, 0, 0
 	w.capacity, w.capacities, w.free = simFullCapacity, nil, simFullCapacity
-	w.runs, w.finishedAttempt, w.unackedEnds, w.unackedDone = map[workflow.RunID]*simRun{}, map[workflow.TaskID]int{}, nil, map[uint64]workflow.TaskID{}
+	w.runs, w.finishedAttempt, w.unackedEnds, w.discardable = map[workflow.RunID]*simRun{}, map[workflow.TaskID]int{}, nil, map[uint64]workflowrpc.End{}
 	w.changed = make(chan struct{})
 }
 
@@ -104,14 +104,14 @@
 		r.timer.Stop()
 		w.history.recordEnd(r, workflow.EndLost)
 	}
-	for _, t := range w.unackedDone {
-		w.history.discardEnd(t)
+	for _, e := range w.discardable {
+		w.history.discardEnd(e)
 	}
 	if w.leaseTimer != nil {
 		w.leaseTimer.Stop()
 	}
 	clear(w.runs)
-	clear(w.unackedDone)
+	clear(w.discardable)
 	w.up = false
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -306,10 +306,9 @@
 		w.free = w.free.Add(spec.Steps[r.id.Task.Step].Need, 1)
 	}
 	seq := w.ackedSeq + uint64(len(w.unackedEnds)) + 1
-	w.unackedEnds = append(w.unackedEnds, workflowrpc.End{Seq: seq, ID: r.id, Kind: kind})
-	if kind == workflow.EndDone {
-		w.unackedDone[seq] = r.id.Task
-	}
+	end := workflowrpc.End{Seq: seq, ID: r.id, Kind: kind}
+	w.unackedEnds = append(w.unackedEnds, end)
+	w.discardable[seq] = end
 	w.history.recordEnd(r, kind)
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -369,10 +368,10 @@
 		return
 	}
 	runs := slices.Collect(maps.Values(w.runs))
-	for _, t := range w.unackedDone {
-		w.history.discardEnd(t)
+	for _, e := range w.discardable {
+		w.history.discardEnd(e)
 	}
-	clear(w.unackedDone)
+	clear(w.discardable)
 	w.mu.Unlock()
 	for _, r := range runs {
 		w.finishRun(r, workflow.EndLeaseExpired)
@@ -433,7 +432,7 @@
 	}
 	w.highestFence = h.Fence
 	for len(w.unackedEnds) > 0 && w.unackedEnds[0].Seq <= h.AckedEndSeq {
-		delete(w.unackedDone, w.unackedEnds[0].Seq)
+		delete(w.discardable, w.unackedEnds[0].Seq)
 		w.ackedSeq = w.unackedEnds[0].Seq
 		w.unackedEnds = w.unackedEnds[1:]
 	}
