--- a/internal/rowstorestub/rowstorestub.go
+++ b/internal/rowstorestub/rowstorestub.go
@@ -101,6 +101,21 @@
 	return t.version
 }
 
+// Rows returns the rows of a table in ascending order of their keys, at once and without
+// faults.
+func (t *Table) Rows(table string) []rowstore.Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []rowstore.Row
+	for ref, r := range t.rows {
+		if ref.Table == table {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b rowstore.Row) int { return strings.Compare(a.Key, b.Key) })
+	return out
+}
+
 func (t *Table) setRow(r rowstore.Row) {
 	t.tables[r.Table] = true
 	if r.Deleted {
--- /dev/null
+++ b/internal/workflowowner/durability_test.go
@@ -0,0 +1,133 @@
+package workflowowner
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/parsleypier/parsleypier/internal/rowstorestub"
+	"github.com/parsleypier/parsleypier/internal/workflow"
+	"github.com/parsleypier/parsleypier/internal/workflowrpc"
+)
+
+// restoreOwner returns an owner of a later epoch as it is after it has read the rows.
+func restoreOwner(table *rowstorestub.Table) *Owner {
+	rows := table.Rows(testTable)
+	version := uint64(0)
+	for _, r := range rows {
+		version = max(version, r.Version)
+	}
+	o := newLoadedOwner(table.ClientFor("restored"), 1<<20, version)
+	for _, r := range rows {
+		o.observeRow(r)
+	}
+	return o
+}
+
+// lostEnd returns what an owner lacks of an end that a worker may have forgotten: empty if
+// the result of the end is known, or if nothing of its job starts any more.
+func (o *Owner) lostEnd(e workflowrpc.End) string {
+	j := o.jobs[e.ID.Task.Job]
+	if j == nil || j.record == nil {
+		return "its job"
+	}
+	spec, t := &j.record.Spec, e.ID.Task
+	step := &spec.Steps[t.Step]
+	if !j.active() || step.Persistent {
+		return ""
+	}
+	progress := j.progress.StepProgress(spec, stepOf(t))
+	switch {
+	case e.Kind == workflow.EndDone && step.Gang && len(progress.Done) < step.Tasks:
+		return fmt.Sprintf("that the gang is done (%d of %d are)", len(progress.Done), step.Tasks)
+	case e.Kind == workflow.EndDone && !progress.IsDone(t.Index):
+		return "that the task is done"
+	case e.Kind == workflow.EndFailed && !progress.IsDone(t.Index):
+		if step.Gang {
+			t.Index = 0
+		}
+		if !slices.Contains(progress.Failed[t.Index], e.ID.Attempt) {
+			return "that the attempt has failed"
+		}
+	}
+	return ""
+}
+
+// checkAcknowledged fails the test if the stored rows lack an end up to the sequence number.
+func (r *harness) checkAcknowledged(ends []workflowrpc.End, noted uint64) {
+	r.t.Helper()
+	restored := restoreOwner(r.table)
+	for _, e := range ends {
+		if lost := restored.lostEnd(e); e.Seq <= noted && lost != "" {
+			r.t.Fatalf("the end %v of %v is acknowledged, and a new owner does not know %s", e.Kind, e.ID, lost)
+		}
+	}
+}
+
+// TestLastEndsOfChunkedJobAreStoredFirst guards against acknowledged ends that are lost with
+// the owner: those that ended a job of several chunks while a write of another chunk was under
+// way.
+func TestLastEndsOfChunkedJobAreStoredFirst(t *testing.T) {
+	const perStep = 120
+	for _, c := range []struct {
+		kind     workflow.EndKind
+		attempts int // that decide the job
+	}{{workflow.EndDone, 1}, {workflow.EndFailed, 2}} {
+		t.Run(string(c.kind), func(t *testing.T) {
+			runOwner(t, func(*harness) {}, func(r *harness) {
+				step := workflow.Step{Tasks: perStep, Need: workflow.Resources{CPUMilli: 1}, Estimate: 1000}
+				r.submit(testJob, step, step)
+				first, last := workflow.TaskID{Job: testJob}, workflow.TaskID{Job: testJob, Step: 1, Index: perStep - 1}
+				running := map[workflow.TaskID]workflow.RunID{}
+				var ends []workflowrpc.End
+				end := func(id workflow.RunID, kind workflow.EndKind) {
+					ends = append(ends, workflowrpc.End{Seq: uint64(len(ends) + 1), ID: id, Kind: kind})
+					delete(running, id.Task)
+				}
+				noted := uint64(0)
+				exchange := func() {
+					reply := r.report("w", "a", 1, func(a *workflowrpc.SyncArgs) {
+						a.Ends, a.Wait = ends[noted:], 10*time.Millisecond
+						for _, id := range running {
+							a.Runs = append(a.Runs, workflowrpc.Run{ID: id, State: workflowrpc.RunRunning})
+						}
+					})
+					noted = max(noted, reply.Noted)
+					for _, s := range reply.Start {
+						running[s.ID.Task] = s.ID
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+				for n := 0; n < 100 && (noted == 0 || noted < uint64(len(ends))); n++ {
+					exchange()
+					for task, id := range running {
+						if task != first && task != last {
+							end(id, workflow.EndDone)
+						}
+					}
+				}
+				if noted != 2*perStep-2 || len(running) != 2 {
+					t.Fatalf("%d ends are acknowledged, %d runs remain; want %d and 2", noted, len(running), 2*perStep-2)
+				}
+				r.table.SetFaults(rowstorestub.Faults{Delay: 240 * time.Millisecond})
+				end(running[first], workflow.EndDone)
+				for range 6 {
+					exchange()
+				}
+				id := running[last]
+				for range c.attempts {
+					end(id, c.kind)
+					id.Attempt++
+				}
+				for n := 0; n < 100 && noted < uint64(len(ends)); n++ {
+					exchange()
+					r.checkAcknowledged(ends, noted)
+				}
+				if noted != uint64(len(ends)) {
+					t.Errorf("ends are acknowledged up to %d of %d", noted, len(ends))
+				}
+			})
+		})
+	}
+}
--- a/internal/workflowowner/job.go
+++ b/internal/workflowowner/job.go
@@ -30,7 +30,8 @@
 	// their own, as an earlier version of this program wrote it.
 	legacyParts bool
 	// progressGen counts the changes of progress that have to be stored, durableGen is
-	// the generation that is stored. storedState is the final state that is stored.
+	// the generation that a new owner would restore. storedState is the final state that is
+	// stored.
 	progressGen, durableGen uint64
 	storedState             workflow.State
 	unstorable              bool   // the store has refused even the row of the ended job
--- a/internal/workflowowner/owner.go
+++ b/internal/workflowowner/owner.go
@@ -382,6 +382,9 @@
 		j.storedState, j.mainMarked = p.State, mainRowContent{p.Begun, p.State, p.EndedAt}
 		j.legacyParts = len(p.Parts) > 0
 		j.adoptLegacyParts()
+		if before := j.durableGen; j.updateDurable() > before {
+			o.releaseEnds()
+		}
 	}
 	if j.active() {
 		o.finishIfDecided(j) // the rows of two owners together may decide what neither does
--- a/internal/workflowowner/progress_rows.go
+++ b/internal/workflowowner/progress_rows.go
@@ -47,25 +47,15 @@
 	}
 }
 
-// markRows begins a generation of the progress and marks the rows that have changed. Of a
-// job that has ended only the main row has to be stored.
+// markRows begins a generation of the progress and marks the rows that have changed.
 func (j *job) markRows() {
 	j.progressGen++
-	changed := j.progress.TakeChangedRows()
 	if main := (mainRowContent{j.progress.Begun, j.progress.State, j.progress.EndedAt}); main != j.mainMarked {
 		j.mainMarked = main
 		j.markRow(workflow.MainRow)
 	}
-	if !j.progress.State.Final() {
-		for _, row := range changed {
-			j.markRow(row)
-		}
-		return
-	}
-	for row, r := range j.rows {
-		if row != workflow.MainRow {
-			r.unstoredGen = 0
-		}
+	for _, row := range j.progress.TakeChangedRows() {
+		j.markRow(row)
 	}
 }
 
@@ -81,27 +71,33 @@
 	}
 }
 
-// updateDurable advances durableGen to the generation up to which all rows are stored.
-func (j *job) updateDurable() {
+// updateDurable advances durableGen, which it returns, to the generation up to which a new
+// owner would restore the progress from the store.
+func (j *job) updateDurable() uint64 {
 	j.durableGen = j.progressGen
+	if j.storedState.Final() {
+		return j.durableGen // a new owner starts nothing of the job, whatever its other rows lack
+	}
 	for _, r := range j.rows {
 		if r.unstoredGen > 0 {
 			j.durableGen = min(j.durableGen, r.unstoredGen-1)
 		}
 	}
+	return j.durableGen
 }
 
 // unstoredRows returns the rows that have to be written next, those that have waited
-// longest first, up to maxJobRows. A main row with the parts of chunks is replaced once these
-// have rows of their own.
+// longest first, up to maxJobRows. Of a job that has ended only the main row is written. A
+// main row with the parts of chunks is replaced once these have rows of their own.
 func (j *job) unstoredRows() []int {
+	final := j.progress.State.Final()
 	var rows []int
 	for row, r := range j.rows {
-		if r.unstoredGen > 0 {
+		if r.unstoredGen > 0 && (row == workflow.MainRow || !final) {
 			rows = append(rows, row)
 		}
 	}
-	if j.legacyParts && !j.progress.State.Final() && len(rows) > 1 {
+	if j.legacyParts && len(rows) > 1 {
 		rows = slices.DeleteFunc(rows, func(row int) bool { return row == workflow.MainRow })
 	}
 	slices.SortFunc(rows, func(a, b int) int {
--- a/internal/workflowowner/size_test.go
+++ b/internal/workflowowner/size_test.go
@@ -14,15 +14,12 @@
 	"github.com/parsleypier/parsleypier/internal/workflowscheduler"
 )
 
-// busyOwner returns an owner with idle workers and waiting jobs; the first cycle fills
-// the workers.
-func busyOwner(tb testing.TB, workers, jobs int) *Owner {
-	tb.Helper()
-	table := rowstorestub.New()
-	store := table.ClientFor("owner")
+// newLoadedOwner returns an owner without goroutines that has read its rows, of which there
+// are none.
+func newLoadedOwner(store rowstore.Store, epoch, version uint64) *Owner {
 	began := time.Now()
 	o := New(Options{
-		ID: "owner", Addr: "owner", Epoch: 2, Version: 1, Store: store, Table: testTable, Config: testConfig{gpus: 16}, Caller: &failingCaller{},
+		ID: "owner", Addr: "owner", Epoch: epoch, Version: version, Store: store, Table: testTable, Config: testConfig{gpus: 16}, Caller: &failingCaller{},
 		Mirror: rowstore.NewMirror(store, testTable, eventlog.Discard(), nil), Log: eventlog.Discard(),
 		Entries: func() ([]string, uint64) { return nil, 0 }, Authority: func() bool { return true }, OnHigherEpoch: func(uint64) {},
 		OnFencedWrite: func(uint64, time.Duration) {}, Clock: func() time.Duration { return time.Since(began) }, Decide: workflowscheduler.Decide,
@@ -30,6 +27,14 @@
 		Times:      Times{Lease: testLease, StopGrace: 200 * time.Millisecond, GangWait: 3 * time.Second, Reclaim: 2700 * time.Millisecond, RemotePenalty: 3, JobRetention: time.Minute},
 	})
 	o.loaded = true
+	return o
+}
+
+// busyOwner returns an owner with idle workers and waiting jobs; the first cycle fills
+// the workers.
+func busyOwner(tb testing.TB, workers, jobs int) *Owner {
+	tb.Helper()
+	o := newLoadedOwner(rowstorestub.New().ClientFor("owner"), 2, 1)
 	for i := range workers {
 		id := fmt.Sprintf("w%03d", i)
 		w := newWorker(id)
