Keep the ends of a job whose row the store refuses

Cause: when the store refuses the row of an ended job for good, the owner took the row as stored, so that its ends would not hold up others. Workers forgot the ends, and the next owner read a job that had not ended.

Change: the ends stay unacknowledged, and the row is sent again after 10 s. Other rows are written as before; later ends of the same worker wait.

--- a/internal/rowstorestub/limits.go
+++ b/internal/rowstorestub/limits.go
@@ -45,6 +45,8 @@
 		switch {
 		case len(table) > maxNameBytes || len(key) > maxNameBytes || len(value) > cmp.Or(t.MaxValueBytes, maxValueBytes):
 			err = verdict.Refuse(verdict.CodeBadRequest, "row %.40s of table %.40s has %d bytes, its key %d", key, table, len(value), len(key))
+		case write && t.faults.RefusedKeys[key]:
+			err = verdict.Refuse(verdict.CodeBadRequest, "row %.40s is refused", key)
 		case write && t.ReadOnly[table]:
 			err = verdict.Refuse(verdict.CodeBadRequest, "table %s is read-only", table)
 		case write && !t.tables[table] && len(t.tables) >= maxTables:
--- a/internal/rowstorestub/rowstorestub.go
+++ b/internal/rowstorestub/rowstorestub.go
@@ -25,6 +25,8 @@
 	DownPartitions, SilentPartitions map[string]bool
 	// RefusedProcesses has the processes whose calls are refused.
 	RefusedProcesses map[string]bool
+	// RefusedKeys has the keys of rows whose writes are refused for good.
+	RefusedKeys map[string]bool
 	// LoseEveryNth = n loses the response to every n-th transaction, which still
 	// takes effect, after LateWriteDelay; 0 loses none.
 	LoseEveryNth   int
--- a/internal/workflowowner/durability_test.go
+++ b/internal/workflowowner/durability_test.go
@@ -131,3 +131,44 @@
 		})
 	}
 }
+
+// TestEndsOfRefusedJobStayUnacknowledged guards against an end that is acknowledged although the
+// store refuses the row of its job, so that the next owner starts the task again.
+func TestEndsOfRefusedJobStayUnacknowledged(t *testing.T) {
+	runOwner(t, func(*harness) {}, func(r *harness) {
+		r.submit(testJob, newStep(1))
+		got := r.awaitStarts("w", "a", 1, time.Second)
+		time.Sleep(time.Second)
+		r.table.SetFaults(rowstorestub.Faults{RefusedKeys: map[string]bool{workflow.ProgressPrefix + testJob: true}})
+		ends := []workflowrpc.End{{Seq: 1, ID: got[0].ID, Kind: workflow.EndDone}}
+		report := func() uint64 {
+			return r.report("w", "a", 1, func(a *workflowrpc.SyncArgs) { a.Ends = ends }).Noted
+		}
+		for range 50 {
+			r.checkAcknowledged(ends, report())
+		}
+		r.submit(otherJob, newStep(1))
+		other := r.awaitStarts("v", "b", 1, time.Second)
+		if len(other) != 1 {
+			t.Fatalf("starts %v beside the refused row, want one", other)
+		}
+		noted := uint64(0)
+		for range 5 {
+			noted = r.report("v", "b", 1, func(a *workflowrpc.SyncArgs) {
+				a.Ends = []workflowrpc.End{{Seq: 1, ID: other[0].ID, Kind: workflow.EndDone}}
+			}).Noted
+		}
+		if noted != 1 {
+			t.Error("the end of another job on another worker is not acknowledged")
+		}
+		if n := r.table.Refused(); n == 0 || n > 10 {
+			t.Errorf("the store refused %d calls within 20 s, want some, up to 10", n)
+		}
+		r.table.SetFaults(rowstorestub.Faults{})
+		time.Sleep(refusedRowDelay)
+		if noted := report(); noted != 1 {
+			t.Errorf("ends are acknowledged up to %d once the store takes the row, want 1", noted)
+		}
+		r.checkAcknowledged(ends, 1)
+	})
+}
--- a/internal/workflowowner/job.go
+++ b/internal/workflowowner/job.go
@@ -34,9 +34,11 @@
 	// stored.
 	progressGen, durableGen uint64
 	storedState             workflow.State
-	unstorable              bool   // the store has refused even the row of the ended job
-	crashGen                uint64 // progressGen of the last crash under the job
-	cancelled               bool
+	// rewriteAt is when the main row of the ended job is sent again after the store has
+	// refused it for good, on the owner's clock.
+	rewriteAt time.Duration
+	crashGen  uint64 // progressGen of the last crash under the job
+	cancelled bool
 
 	attempts    map[workflow.TaskID]int
 	runs        map[workflow.TaskID]*run
--- a/internal/workflowowner/persist.go
+++ b/internal/workflowowner/persist.go
@@ -23,6 +23,9 @@
 	writeTimeout    = 2500 * time.Millisecond
 	// writeRetryDelay is the mean delay after a failed write.
 	writeRetryDelay = 100 * time.Millisecond
+	// refusedRowDelay is the delay before the row of an ended job is sent again that the store
+	// has refused for good. A refusal also reduces the batches of other rows for a moment.
+	refusedRowDelay = 10 * time.Second
 )
 
 // persistLoop writes changes until the owner stops.
@@ -118,8 +121,7 @@
 	return true, nil
 }
 
-// recordDurable applies that a row of a job's progress needs no further write up to a
-// generation.
+// recordDurable applies that a row of a job's progress is stored up to a generation.
 func (o *Owner) recordDurable(wr progressWrite) {
 	if !wr.job.crashesStored() {
 		signal(o.wakeDecide) // tasks may have waited for this write
@@ -144,7 +146,7 @@
 
 // handleRefusal handles a transaction that the store has refused for what it contains.
 // Smaller ones follow, until the item is found that the store does not take. That one is
-// not sent again unchanged, so that it holds up no other.
+// not sent again unchanged, or only after a delay, so that it holds up no other.
 func (o *Owner) handleRefusal(b batch, err error) {
 	o.opts.Log.Event("write_refused", "progress", len(b.progress), "workers", len(b.workers), "entries", b.txn.Entries(), "bytes", b.txn.Size(), "err", err.Error())
 	refusedWrites.Add(1)
@@ -165,10 +167,10 @@
 			o.finish(wr.job, workflow.StateFailed) // the row of an ended job is the smallest one
 			continue
 		}
-		// Nothing of the job can be kept; its ends must not hold up those of others.
-		wr.job.unstorable = true
-		o.recordDurable(wr)
-		o.releaseEnds()
+		// The ends of the job stay unacknowledged: without them a new owner would start its
+		// tasks again.
+		wr.job.rewriteAt = o.now() + refusedRowDelay
+		time.AfterFunc(refusedRowDelay, func() { signal(o.wakePersist) })
 	}
 }
 
@@ -213,7 +215,7 @@
 		b.workers = append(b.workers, workerWrite{w, !w.lost, w.incarnation})
 	}
 	for _, j := range o.jobs {
-		if j.progressGen == j.durableGen || j.record == nil || j.unstorable {
+		if j.progressGen == j.durableGen || j.record == nil || o.now() < j.rewriteAt {
 			continue
 		}
 		for _, row := range j.unstoredRows() {
--- a/internal/workflowowner/progress_rows.go
+++ b/internal/workflowowner/progress_rows.go
@@ -114,7 +114,7 @@
 	state workflow.State
 }
 
-// stored applies that the write has succeeded, or that it will never be needed.
+// stored applies that the write has succeeded.
 func (wr progressWrite) stored() {
 	r := wr.job.row(wr.row)
 	r.unstoredGen = 0
