Complete a gang of which a new owner reads only a part

Callers would have seen a job that is never completed (rule LOST): its gang was done, and a part of it started again and waited for the rest.

Cause: the members of a gang may be in two rows of the progress, which different transactions may write. An owner that took over in between read a gang of which a part was done.

Change: the owner completes gangs from the rows that it reads.

--- a/internal/workflow/chunk.go
+++ b/internal/workflow/chunk.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"iter"
 	"slices"
 	"strconv"
 	"strings"
@@ -82,11 +83,7 @@
 
 // MarkAllChanged marks all rows of the parts as changed.
 func (p *Progress) MarkAllChanged(s *Spec) {
-	for key, part := range p.Parts {
-		t := TaskID{Occurrence: key / len(s.Steps), Step: key % len(s.Steps)}
-		if part == nil || key < 0 || !s.HasTask(t) {
-			continue
-		}
+	for t, part := range p.partsOf(s) {
 		for t.Index = range s.Steps[t.Step].Tasks {
 			if part.has(t.Index) {
 				p.changed(s, t)
@@ -95,6 +92,33 @@
 	}
 }
 
+// CompleteGangs marks all members of a gang as completed if one is. The members' rows are not
+// all written at once if they are in several chunks. It reports whether that changes anything.
+func (p *Progress) CompleteGangs(s *Spec) bool {
+	changed := false
+	for t, part := range p.partsOf(s) {
+		step := &s.Steps[t.Step]
+		if !step.Gang || len(part.Done) == 0 || len(part.Done) >= step.Tasks {
+			continue
+		}
+		p.completeGang(s, t)
+		changed = true
+	}
+	return changed
+}
+
+// partsOf iterates over the parts of the spec's steps, each with the first task of its step.
+func (p *Progress) partsOf(s *Spec) iter.Seq2[TaskID, *StepProgress] {
+	return func(yield func(TaskID, *StepProgress) bool) {
+		for key, part := range p.Parts {
+			t := TaskID{Occurrence: key / len(s.Steps), Step: key % len(s.Steps)}
+			if part != nil && key >= 0 && s.HasTask(t) && !yield(t, part) {
+				return
+			}
+		}
+	}
+}
+
 // TakeChangedRows returns the rows of the parts that have changed since the last call, in
 // ascending order.
 func (p *Progress) TakeChangedRows() []int {
--- a/internal/workflow/progress.go
+++ b/internal/workflow/progress.go
@@ -170,10 +170,7 @@
 			p.changed(s, t)
 			return true
 		}
-		for t.Index = range step.Tasks {
-			part.addDone(t.Index)
-			p.changed(s, t)
-		}
+		p.completeGang(s, t)
 		return true
 	case EndFailed:
 		if !part.addFailed(shared.Index, id.Attempt) {
@@ -185,6 +182,15 @@
 	return false
 }
 
+// completeGang marks all members of the gang of a task as completed.
+func (p *Progress) completeGang(s *Spec, t TaskID) {
+	part := p.partAt(t.Occurrence*len(s.Steps) + t.Step)
+	for t.Index = range s.Steps[t.Step].Tasks {
+		part.addDone(t.Index)
+		p.changed(s, t)
+	}
+}
+
 // Checkpoint returns the token from which the task resumes, or "" if there is none.
 func (p *Progress) Checkpoint(s *Spec, t TaskID) string {
 	i := t.Index
--- a/internal/workflowowner/durability_test.go
+++ b/internal/workflowowner/durability_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/parsleypier/parsleypier/internal/rowstore"
 	"github.com/parsleypier/parsleypier/internal/rowstorestub"
 	"github.com/parsleypier/parsleypier/internal/workflow"
 	"github.com/parsleypier/parsleypier/internal/workflowrpc"
@@ -172,3 +173,41 @@
 		r.checkAcknowledged(ends, 1)
 	})
 }
+
+// TestGangInTwoRowsIsDone guards against the start of a part of a gang after the gang was done:
+// an owner that was replaced had written only one of the rows with its members.
+func TestGangInTwoRowsIsDone(t *testing.T) {
+	for _, recordLast := range []bool{false, true} {
+		runOwner(t, func(r *harness) {
+			plain := workflow.Step{Tasks: 190, Need: workflow.Resources{CPUMilli: 1}, Estimate: 1000}
+			gang := workflow.Step{Tasks: 20, Need: workflow.Resources{CPUMilli: 1}, Estimate: 1000, Gang: true}
+			spec := &workflow.Spec{Steps: []workflow.Step{plain, gang}}
+			progress := &workflow.Progress{Begun: true}
+			for i := range plain.Tasks {
+				progress.RecordEnd(spec, workflow.RunID{Task: workflow.TaskID{Job: testJob, Index: i}, Attempt: 1}, workflow.EndDone, "")
+			}
+			progress.RecordEnd(spec, workflow.RunID{Task: workflow.TaskID{Job: testJob, Step: 1}, Attempt: 1}, workflow.EndDone, "")
+			rows := progress.TakeChangedRows()
+			if len(rows) != 2 {
+				t.Fatalf("the progress has %d rows of chunks, want 2", len(rows))
+			}
+			value, err := progress.EncodeRow(spec, rows[0], rowstore.MaxRowBytes)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.table.Put(testTable, workflow.ProgressKey(testJob, rows[0]), value)
+			record := r.recordRow(testJob, spec.Steps...)
+			if recordLast { // in the order in which rows are read
+				record.Key = workflow.SpareRecordPrefix + testJob
+			}
+			r.table.Put(testTable, record.Key, record.Value)
+		}, func(r *harness) {
+			if got := r.awaitStarts("w", "a", 1, time.Second); len(got) > 0 {
+				t.Errorf("starts %v, want none", got)
+			}
+			if s := r.storedState(testJob); s != workflow.StateCompleted {
+				t.Errorf("stored state %q, want completed", s)
+			}
+		})
+	}
+}
--- a/internal/workflowowner/owner.go
+++ b/internal/workflowowner/owner.go
@@ -312,9 +312,7 @@
 	if !j.progress.State.Final() {
 		o.logJobSeen(j)
 	}
-	if j.active() {
-		o.finishIfDecided(j) // its progress was read before its record
-	}
+	o.completeFromRows(j) // its progress may have been read before its record
 }
 
 // stepShape is what the log says of a step of a job.
@@ -386,9 +384,19 @@
 			o.releaseEnds()
 		}
 	}
-	if j.active() {
-		o.finishIfDecided(j) // the rows of two owners together may decide what neither does
+	o.completeFromRows(j)
+}
+
+// completeFromRows applies what follows from the rows of a job that have been read. Those of
+// two owners together may decide what neither does.
+func (o *Owner) completeFromRows(j *job) {
+	if !j.active() {
+		return
+	}
+	if j.progress.CompleteGangs(&j.record.Spec) {
+		o.markChanged(j)
 	}
+	o.finishIfDecided(j)
 }
 
 // workerRow is the stored value of a worker's row.
