--- a/internal/scheduler/guarantee/guarantee_test.go
+++ b/internal/scheduler/guarantee/guarantee_test.go
@@ -1,13 +1,13 @@
 package guarantee
 
 import (
-	"flag"
 	"fmt"
 	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
 
+	"github.com/parsleypier/parsleypier/internal/seedtest"
 	"github.com/parsleypier/parsleypier/internal/structs"
 	"github.com/parsleypier/parsleypier/internal/verdict"
 )
@@ -82,21 +82,7 @@
 // TestAdmittedGuaranteesPackSeeds runs TestAdmittedGuaranteesPackWithinMargin with the seeds
 // in failedPackSeeds.
 func TestAdmittedGuaranteesPackSeeds(t *testing.T) {
-	const name = "rapid.seed"
-	before := flag.Lookup(name).Value.String()
-	for _, seed := range failedPackSeeds {
-		t.Run("seed-"+seed, func(t *testing.T) {
-			if err := flag.Set(name, seed); err != nil {
-				t.Fatal(err)
-			}
-			defer func() {
-				if err := flag.Set(name, before); err != nil {
-					t.Error(err)
-				}
-			}()
-			rapid.Check(t, checkAdmittedGuaranteesPack)
-		})
-	}
+	seedtest.Run(t, failedPackSeeds, checkAdmittedGuaranteesPack)
 }
 
 func checkAdmittedGuaranteesPack(t *rapid.T) {
--- a/internal/scheduler/statemachine_test.go
+++ b/internal/scheduler/statemachine_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -12,6 +11,7 @@
 
 	"github.com/parsleypier/parsleypier/internal/scheduler/check"
 	"github.com/parsleypier/parsleypier/internal/scheduler/guarantee"
+	"github.com/parsleypier/parsleypier/internal/seedtest"
 	"github.com/parsleypier/parsleypier/internal/structs"
 )
 
@@ -249,23 +249,7 @@
 var failedSeeds = []string{"17466224753632383381", "9316058612141896704"}
 
 // TestStateMachineSeeds runs TestStateMachine with the seeds in failedSeeds.
-func TestStateMachineSeeds(t *testing.T) {
-	const name = "rapid.seed"
-	before := flag.Lookup(name).Value.String()
-	for _, seed := range failedSeeds {
-		t.Run("seed-"+seed, func(t *testing.T) {
-			if err := flag.Set(name, seed); err != nil {
-				t.Fatal(err)
-			}
-			defer func() {
-				if err := flag.Set(name, before); err != nil {
-					t.Error(err)
-				}
-			}()
-			rapid.Check(t, runStateMachine)
-		})
-	}
-}
+func TestStateMachineSeeds(t *testing.T) { seedtest.Run(t, failedSeeds, runStateMachine) }
 
 func runStateMachine(t *rapid.T) {
 	m := newDomainModel(t)
