Reserve attempt numbers beyond those of an epoch

Cause: an owner begins the numbers of attempts at its epoch times 1,000, and the one before could use more than 1,000. Agents ignore an order for a run that they have seen end, and the owner repeated it for ever.

Change: when half of the numbers of its epoch are used, the owner reserves further ones in the task's row of progress, and uses them once that is stored. Later owners begin above them.

--- a/internal/workflow/chunk.go
+++ b/internal/workflow/chunk.go
@@ -133,7 +133,7 @@
 
 // has reports whether anything is recorded of task i.
 func (p *StepProgress) has(i int) bool {
-	return p.IsDone(i) || len(p.Failed[i]) > 0 || p.Checkpoints[i] != "" || len(p.Crashes[i]) > 0
+	return p.IsDone(i) || len(p.Failed[i]) > 0 || p.Checkpoints[i] != "" || len(p.Crashes[i]) > 0 || p.Attempts[i] > 0
 }
 
 // EncodeRow returns the value of a row of the progress, of a chunk or MainRow. What is not
@@ -213,6 +213,7 @@
 			}
 			out.Failed[i] = attempts
 		}
+		out.reserveAttempts(i, p.Attempts[i])
 		if token := p.Checkpoints[i]; token != "" {
 			out.setCheckpoint(i, token)
 		}
--- a/internal/workflow/progress.go
+++ b/internal/workflow/progress.go
@@ -18,6 +18,9 @@
 	// Crashes lists the workers that crashed under a task, by task index, each once. The
 	// members of a gang are counted by themselves.
 	Crashes map[int][]Crash `json:"crashes,omitempty"`
+	// Attempts has the highest attempt number that an owner has reserved, by task index. A gang
+	// uses index 0. Numbers that follow from the owner's epoch need no reservation.
+	Attempts map[int]int `json:"attempts,omitempty"`
 }
 
 // StepID identifies a step of an occurrence.
@@ -44,7 +47,7 @@
 	c.changedRows = maps.Clone(p.changedRows)
 	c.Parts = make(map[int]*StepProgress, len(p.Parts))
 	for k, v := range p.Parts {
-		c.Parts[k] = &StepProgress{Done: slices.Clone(v.Done), Failed: maps.Clone(v.Failed), Checkpoints: maps.Clone(v.Checkpoints), Crashes: maps.Clone(v.Crashes)}
+		c.Parts[k] = &StepProgress{Done: slices.Clone(v.Done), Failed: maps.Clone(v.Failed), Checkpoints: maps.Clone(v.Checkpoints), Crashes: maps.Clone(v.Crashes), Attempts: maps.Clone(v.Attempts)}
 		for i, crashes := range v.Crashes {
 			c.Parts[k].Crashes[i] = slices.Clone(crashes)
 		}
@@ -79,6 +82,9 @@
 				step.addCrash(i, c)
 			}
 		}
+		for i, through := range v.Attempts {
+			step.reserveAttempts(i, through)
+		}
 		for i, c := range v.Checkpoints {
 			if step.Checkpoints[i] == "" {
 				step.setCheckpoint(i, c)
@@ -149,10 +155,7 @@
 	t := id.Task
 	step := &s.Steps[t.Step]
 	part := p.partAt(t.Occurrence*len(s.Steps) + t.Step)
-	shared := t // the task under which the gang's results are recorded
-	if step.Gang {
-		shared.Index = 0
-	}
+	shared := s.sharedTask(t)
 	if step.Checkpoint && checkpoint != "" && len(checkpoint) <= MaxCheckpointBytes {
 		part.setCheckpoint(shared.Index, checkpoint)
 		p.changed(s, shared)
@@ -193,11 +196,7 @@
 
 // Checkpoint returns the token from which the task resumes, or "" if there is none.
 func (p *Progress) Checkpoint(s *Spec, t TaskID) string {
-	i := t.Index
-	if s.Steps[t.Step].Gang {
-		i = 0
-	}
-	return p.StepProgress(s, StepID{t.Occurrence, t.Step}).Checkpoints[i]
+	return p.StepProgress(s, StepID{t.Occurrence, t.Step}).Checkpoints[s.sharedTask(t).Index]
 }
 
 // StepDone reports whether all tasks of a step have completed.
--- a/internal/workflowowner/cycle.go
+++ b/internal/workflowowner/cycle.go
@@ -157,7 +157,7 @@
 		remote:  expected > time.Duration(1.5*float64(o.estimate(j, step))),
 		resumed: j.progress.Checkpoint(&j.record.Spec, task) != "", ticket: j.ticket(g.stepID, w),
 	}
-	j.attempts[task] = attempt
+	j.recordAttempt(task, attempt)
 	j.runs[task], w.runs[r.id] = r, r
 	delete(j.waitReasons, waitingTasks{g.stepID, from.Isolation})
 	delete(j.isolationWait, g.stepID)
@@ -291,6 +291,7 @@
 		Job: j.id, ID: stepID, Need: step.HeldResources(), Gang: step.Gang, SameRack: step.SameRack, DataRack: step.DataRack, Label: step.Label, Pool: j.record.Pool,
 		MaxPerWorker: step.MaxPerWorker, Avoid: j.avoid,
 	}
+	var gang []workflow.TaskID
 	for i := range step.Tasks {
 		task := workflow.TaskID{Job: j.id, Occurrence: stepID.Occurrence, Step: stepID.Step, Index: i}
 		if r := j.runs[task]; r != nil {
@@ -305,11 +306,17 @@
 			}
 			continue
 		}
-		if !progress.IsDone(i) {
-			g.Tasks = append(g.Tasks, i)
+		switch {
+		case progress.IsDone(i):
+			continue
+		case step.Gang:
+			gang = append(gang, task)
+		case !o.attemptUsable(j, []workflow.TaskID{task}):
+			continue
 		}
+		g.Tasks = append(g.Tasks, i)
 	}
-	if len(g.Tasks) == 0 {
+	if len(g.Tasks) == 0 || step.Gang && !o.attemptUsable(j, gang) {
 		return g, false
 	}
 	if j.readySince[stepID] == 0 {
--- a/internal/workflowowner/durability_model_test.go
+++ b/internal/workflowowner/durability_model_test.go
@@ -461,7 +461,7 @@
 	for _, w := range m.workers {
 		m.acknowledge(w)
 	}
-	restored := restoreOwner(m.table)
+	restored := restoreOwner(m.table, m.epoch+1)
 	for _, e := range m.acknowledged {
 		if lost := restored.lostEnd(e); lost != "" {
 			t.Fatalf("the end %s of %s is acknowledged, and a new owner does not know %s", e.Kind, e.ID, lost)
--- a/internal/workflowowner/durability_test.go
+++ b/internal/workflowowner/durability_test.go
@@ -12,14 +12,14 @@
 	"github.com/parsleypier/parsleypier/internal/workflowrpc"
 )
 
-// restoreOwner returns an owner of a later epoch as it is after it has read the rows.
-func restoreOwner(table *rowstorestub.Table) *Owner {
+// restoreOwner returns an owner as it is after it has read the rows.
+func restoreOwner(table *rowstorestub.Table, epoch uint64) *Owner {
 	rows := table.Rows(testTable)
 	version := uint64(0)
 	for _, r := range rows {
 		version = max(version, r.Version)
 	}
-	o := newLoadedOwner(table.ClientFor("restored"), 1<<20, version)
+	o := newLoadedOwner(table.ClientFor("restored"), epoch, version)
 	for _, r := range rows {
 		o.observeRow(r)
 	}
@@ -58,7 +58,7 @@
 // checkAcknowledged fails the test if the stored rows lack an end up to the sequence number.
 func (r *harness) checkAcknowledged(ends []workflowrpc.End, noted uint64) {
 	r.t.Helper()
-	restored := restoreOwner(r.table)
+	restored := restoreOwner(r.table, r.owner.opts.Epoch+1)
 	for _, e := range ends {
 		if lost := restored.lostEnd(e); e.Seq <= noted && lost != "" {
 			r.t.Fatalf("the end %v of %v is acknowledged, and a new owner does not know %s", e.Kind, e.ID, lost)
--- a/internal/workflowowner/job.go
+++ b/internal/workflowowner/job.go
@@ -40,7 +40,11 @@
 	crashGen  uint64 // progressGen of the last crash under the job
 	cancelled bool
 
-	attempts    map[workflow.TaskID]int
+	// attempts has the highest known attempt number by task, highestAttempt the highest of all.
+	attempts       map[workflow.TaskID]int
+	highestAttempt int
+	// reserved has this owner's reservations of attempt numbers. The members of a gang share one.
+	reserved    map[workflow.TaskID]*attemptReservation
 	runs        map[workflow.TaskID]*run
 	avoid       map[string]bool // workers on which a run of the job failed
 	readySince  map[workflow.StepID]time.Duration
@@ -98,6 +102,7 @@
 		j.progress = &workflow.Progress{}
 	}
 	j.attempts, j.runs = map[workflow.TaskID]int{}, map[workflow.TaskID]*run{}
+	j.reserved = map[workflow.TaskID]*attemptReservation{}
 	j.advice, j.rejectedStarts = map[workflow.StepID]*advice{}, map[workflow.StepID]rejectionBackoff{}
 	j.avoid, j.readySince, j.waitReasons = map[string]bool{}, map[workflow.StepID]time.Duration{}, map[waitingTasks]string{}
 	j.isolationWait = map[workflow.StepID]time.Duration{}
@@ -146,28 +151,6 @@
 	stopReason string
 }
 
-// firstAttempt returns the number of this owner's first attempt of a task. For inherited
-// jobs the numbers depend on the epoch, since attempts of earlier owners may not be
-// known.
-func (o *Owner) firstAttempt(j *job) int {
-	if !j.inherited {
-		return 1
-	}
-	return int(o.opts.Epoch)*attemptsPerEpoch + 1
-}
-
-// attemptsPerEpoch is greater than the number of attempts of a task by one owner.
-const attemptsPerEpoch = 1000
-
-// nextAttempt returns the next common attempt number of the tasks.
-func (o *Owner) nextAttempt(j *job, tasks []workflow.TaskID) int {
-	n := o.firstAttempt(j)
-	for _, t := range tasks {
-		n = max(n, j.attempts[t]+1)
-	}
-	return n
-}
-
 // endRun removes a run that has ended, and stops the rest of its gang if it did not
 // complete.
 func (o *Owner) endRun(r *run, kind workflow.EndKind, why string) {
@@ -254,7 +237,7 @@
 		w.pendingEnds = append(w.pendingEnds, pendingEnd{seq: e.Seq})
 		return
 	}
-	j.attempts[e.ID.Task] = max(j.attempts[e.ID.Task], e.ID.Attempt)
+	j.recordAttempt(e.ID.Task, e.ID.Attempt)
 	final := j.progress.State.Final()
 	if !final && j.progress.RecordEnd(&j.record.Spec, e.ID, e.Kind, e.Checkpoint) {
 		if !j.progress.Begun {
--- a/internal/workflowowner/worker.go
+++ b/internal/workflowowner/worker.go
@@ -419,7 +419,7 @@
 	}
 	step := &j.record.Spec.Steps[task.Step]
 	stepID := stepOf(task)
-	j.attempts[task] = max(j.attempts[task], report.ID.Attempt)
+	j.recordAttempt(task, report.ID.Attempt)
 	other := j.runs[task]
 	if !j.active() || other != nil || j.progress.StepProgress(&j.record.Spec, stepID).IsDone(task.Index) {
 		w.unwantedRuns[report.ID] = step.HeldResources()
