Let lasting runs prove that their worker has recovered

Cause: a worker that was quarantined, or paused after failures, is probed with one task while it is otherwise empty, and a run that ends done is the proof. A lasting task does not end so. As the probe, or at work beside it, it kept the worker from all other work for good. Its own failures, which may come at any time, counted against healthy workers.

Change: the run of a lasting task is the proof once it has been at work for a second. Capacity held by such runs does not count for whether a probed worker is empty, and their failures are no evidence against the worker.

--- a/internal/workflowowner/cycle.go
+++ b/internal/workflowowner/cycle.go
@@ -45,6 +45,7 @@
 // cycle makes one decision and carries it out.
 func (o *Owner) cycle() {
 	o.stopIncompleteGangs()
+	o.proveRuns()
 	sinceLastCycle := min(o.now()-o.lastCycle, 2*tickInterval)
 	o.lastCycle = o.now()
 	snap, groups := o.snapshot()
@@ -179,7 +180,7 @@
 		}
 		snap.Workers = append(snap.Workers, workflowscheduler.Worker{
 			ID: w.id, Rack: w.info.Rack, Pool: w.info.Pool, Labels: w.info.Labels, Capacity: w.info.Capacity, Free: w.free(),
-			Usable: o.usable(w), QuietAt: o.quietAt(w), Slowdown: 1, Probe: w.backoff.probing() || o.health.State(now, w.id) == structs.WorkerProbing,
+			Usable: o.usable(w), QuietAt: o.quietAt(w), Slowdown: 1, Probe: w.backoff.probing() || o.health.State(now, w.id) == structs.WorkerProbing, Proven: w.proven(),
 		})
 		for _, r := range w.runs {
 			snap.Running = append(snap.Running, o.snapshotRun(r))
--- a/internal/workflowowner/job.go
+++ b/internal/workflowowner/job.go
@@ -147,6 +147,8 @@
 	// ageAtCrash is how long before the crash of the worker the run may have begun; 0 if
 	// the worker has not crashed, or cannot have begun the run.
 	ageAtCrash time.Duration
+	// proven is set once the run of a persistent task has been at work for provenAfter.
+	proven bool
 	// stopReason is why the run is being stopped; empty if it is not.
 	stopReason string
 }
@@ -290,6 +292,10 @@
 			o.runtimes.Observe("", j.record.Queue, "", declaredTime(r.step), now-r.startedAt)
 		}
 	case workflow.EndFailed:
+		if r != nil && r.proven {
+			w.backoff.pause(now) // persistent tasks also fail on healthy workers
+			return
+		}
 		j.avoid[w.id] = true
 		o.health.Failure(now, w.id, j.record.Queue, j.id, false)
 		w.backoff.recordFailure(now, j.id)
--- a/internal/workflowowner/worker.go
+++ b/internal/workflowowner/worker.go
@@ -118,7 +118,9 @@
 	// that completed. lastJob is the last of these jobs.
 	failedJobs int
 	lastJob    string
-	until      time.Duration // on the owner's clock
+	// failedAt is the time of the last counted failure and until the end of the pause, both on the
+	// owner's clock.
+	failedAt, until time.Duration
 }
 
 // failurePauses are the times without starts after the first, the second and each
@@ -132,9 +134,12 @@
 		b.failedJobs++
 		b.lastJob = job
 	}
-	b.until = now + failurePauses[min(b.failedJobs, len(failurePauses))-1]
+	b.failedAt, b.until = now, now+failurePauses[min(b.failedJobs, len(failurePauses))-1]
 }
 
+// pause delays starts on the worker without counting a failure against it.
+func (b *failureBackoff) pause(now time.Duration) { b.until = max(b.until, now+failurePauses[0]) }
+
 func (b *failureBackoff) reset() { *b = failureBackoff{} }
 
 // probing reports whether the worker failed several jobs, and so gets one task at a time
@@ -150,6 +155,38 @@
 	return time.Since(w.lastCall) < maxContactAge && o.now() >= w.backoff.until && o.health.State(o.now(), w.id) != structs.WorkerQuarantined
 }
 
+// provenAfter is how long the run of a persistent task, which does not complete, has to be at
+// work to show that its worker is healthy.
+const provenAfter = time.Second
+
+// proveRuns records the persistent runs that show that their workers are healthy.
+func (o *Owner) proveRuns() {
+	now := o.now()
+	for _, w := range o.workers {
+		for _, r := range w.runs {
+			if r.proven || !r.step.Persistent || r.startedAt == 0 || now-r.startedAt < provenAfter || w.info.Silent > 0 {
+				continue
+			}
+			r.proven = true
+			o.health.Success(now, w.id, r.job.record.Queue, r.job.id)
+			if r.orderedAt >= w.backoff.failedAt {
+				w.backoff.reset()
+			}
+		}
+	}
+}
+
+// proven returns the capacity held by the worker's proven runs.
+func (w *worker) proven() workflow.Resources {
+	var held workflow.Resources
+	for _, r := range w.runs {
+		if r.proven {
+			held = held.Add(r.step.HeldResources(), 1)
+		}
+	}
+	return held
+}
+
 // free returns the capacity that is not held by runs that may exist on the worker.
 func (w *worker) free() workflow.Resources {
 	free := w.info.Capacity
--- a/internal/workflowscheduler/workflowscheduler.go
+++ b/internal/workflowscheduler/workflowscheduler.go
@@ -32,8 +32,10 @@
 	// Slowdown is the factor by which tasks run longer there than on a healthy worker;
 	// values below 1 count as 1.
 	Slowdown float64
-	// Probe limits the worker to one task at a time, to test whether it is healthy.
-	Probe bool
+	// Probe limits the worker to one task at a time, to test whether it is healthy. Proven is the
+	// capacity held by runs that do not count for that, since they have passed the test.
+	Probe  bool
+	Proven workflow.Resources
 	// QuietAt is the time from which no task there has just started, on the clock of
 	// Snapshot.Now.
 	QuietAt time.Duration
@@ -414,7 +416,7 @@
 		count = min(count, group.MaxPerWorker-group.TasksOnWorker[w.ID])
 	}
 	if w.Probe {
-		if w.Free != w.Capacity {
+		if w.Free != w.Capacity.Add(w.Proven, -1) {
 			return 0
 		}
 		count = min(count, 1)
