Return to an avoided worker rather than wait in vain

Cause: a job avoids the workers on which it failed unless it would not fit on the others even when they are empty. Workers with lasting tasks never are, and no wait was too long.

Change: a step that has started nothing for 8 s, or for 3 s if its tasks last, avoids no worker any more if most capacity is idle or the other workers will never have capacity for it.

--- a/internal/workflowowner/cycle.go
+++ b/internal/workflowowner/cycle.go
@@ -162,6 +162,7 @@
 	j.runs[task], w.runs[r.id] = r, r
 	delete(j.waitReasons, waitingTasks{g.stepID, from.Isolation})
 	delete(j.isolationWait, g.stepID)
+	delete(j.waitingSince, g.stepID)
 	startWait.Add(telemetry.LatencyBucket(o.now()-j.readySince[g.stepID]), 1)
 	o.opts.Log.Event("run_ordered", "job", j.id, "run", r.id.String(), "worker", w.id, "readyMs", (o.now() - j.readySince[g.stepID]).Milliseconds(),
 		"expectedMs", expected.Milliseconds(), "isolation", int(from.Isolation), "reportAgeMs", time.Since(w.lastCall).Milliseconds(), "epoch", o.opts.Epoch)
@@ -290,7 +291,7 @@
 	}
 	g := workflowscheduler.Group{
 		Job: j.id, ID: stepID, Need: step.HeldResources(), Gang: step.Gang, SameRack: step.SameRack, DataRack: step.DataRack, Label: step.Label, Pool: j.record.Pool,
-		MaxPerWorker: step.MaxPerWorker, Avoid: j.avoid,
+		MaxPerWorker: step.MaxPerWorker, Avoid: j.avoid, Persistent: step.Persistent,
 	}
 	var gang []workflow.TaskID
 	for i := range step.Tasks {
@@ -324,6 +325,10 @@
 		j.readySince[stepID] = max(now, 1)
 	}
 	g.ReadyAt = j.readySince[stepID]
+	if j.waitingSince[stepID] == 0 {
+		j.waitingSince[stepID] = max(now, 1)
+	}
+	g.WaitedFor = now - j.waitingSince[stepID]
 	g.Allowed = o.allowedWorkers(j, stepID)
 	o.setGroupValue(j, step, &g)
 	return g, true
--- a/internal/workflowowner/job.go
+++ b/internal/workflowowner/job.go
@@ -44,11 +44,13 @@
 	attempts       map[workflow.TaskID]int
 	highestAttempt int
 	// reserved has this owner's reservations of attempt numbers. The members of a gang share one.
-	reserved    map[workflow.TaskID]*attemptReservation
-	runs        map[workflow.TaskID]*run
-	avoid       map[string]bool // workers on which a run of the job failed
-	readySince  map[workflow.StepID]time.Duration
-	waitReasons map[waitingTasks]string // last logged reason
+	reserved   map[workflow.TaskID]*attemptReservation
+	runs       map[workflow.TaskID]*run
+	avoid      map[string]bool // workers on which a run of the job failed
+	readySince map[workflow.StepID]time.Duration
+	// waitingSince is when a step last had tasks that wait, and none that was started since.
+	waitingSince map[workflow.StepID]time.Duration
+	waitReasons  map[waitingTasks]string // last logged reason
 	// isolationWait has the time for which a step has waited, since its last start, only
 	// because it has to be kept apart.
 	isolationWait map[workflow.StepID]time.Duration
@@ -105,7 +107,7 @@
 	j.reserved = map[workflow.TaskID]*attemptReservation{}
 	j.advice, j.rejectedStarts = map[workflow.StepID]*advice{}, map[workflow.StepID]rejectionBackoff{}
 	j.avoid, j.readySince, j.waitReasons = map[string]bool{}, map[workflow.StepID]time.Duration{}, map[waitingTasks]string{}
-	j.isolationWait = map[workflow.StepID]time.Duration{}
+	j.isolationWait, j.waitingSince = map[workflow.StepID]time.Duration{}, map[workflow.StepID]time.Duration{}
 	j.adoptLegacyParts()
 }
 
--- a/internal/workflowscheduler/workflowscheduler.go
+++ b/internal/workflowscheduler/workflowscheduler.go
@@ -60,8 +60,12 @@
 	MaxPerWorker  int
 	TasksOnWorker map[string]int
 	// Avoid lists workers on which the group's tasks failed. They are used only if the
-	// group does not fit on the other workers.
+	// group does not fit on the other workers, or has waited long for them.
 	Avoid map[string]bool
+	// WaitedFor is the time since the group last started a task, or since it became ready.
+	WaitedFor time.Duration
+	// Persistent tasks never complete.
+	Persistent bool
 	// Allowed lists the only workers that may run the group; nil means all.
 	Allowed map[string]bool
 	// Isolation keeps the tasks apart from other work, because they may have crashed a
@@ -207,6 +211,11 @@
 	// to still need.
 	overdueShare = 0.25
 	minRemaining = 200 * time.Millisecond // the least remaining run time assumed of a run
+	// avoidLimit is how long a group waits for workers other than those that it avoids.
+	// Workers that fail all that they start have mostly recovered by then. Persistent tasks
+	// may fail any number of times, and wait for persistentAvoidLimit.
+	avoidLimit           = 8 * time.Second
+	persistentAvoidLimit = 3 * time.Second
 	// idleWaitLimit is how long a group waits for reservations of other work while most
 	// capacity is idle.
 	idleWaitLimit = 2 * time.Second
@@ -345,18 +354,31 @@
 }
 
 // relaxAvoid clears the list of avoided workers if the group does not fit on the others,
-// even when they are empty.
+// even when they are empty, or if it has waited long for them without need.
 func (p *planner) relaxAvoid(g int) {
 	group := &p.snap.Groups[g]
+	if len(group.Avoid) == 0 {
+		return
+	}
 	need := 1
 	if group.Gang {
 		need = len(group.Tasks)
 	}
-	if len(group.Avoid) > 0 && p.countSlots(g, p.slotsWhenEmpty).total < need {
+	if p.countSlots(g, p.slotsWhenEmpty).total < need || p.waitsInVain(g, need) {
 		group.Avoid, p.eligibleNodes[g] = nil, nil
 	}
 }
 
+// waitsInVain reports whether a group has waited long for workers other than those that it
+// avoids, although most capacity is idle, or they will never have capacity for it.
+func (p *planner) waitsInVain(g, need int) bool {
+	group := &p.snap.Groups[g]
+	if group.Persistent {
+		return group.WaitedFor >= persistentAvoidLimit
+	}
+	return group.WaitedFor >= avoidLimit && (p.mostlyIdle() || p.earliestFit(g, need) == math.MaxInt64)
+}
+
 // relaxSameRack drops the one-rack preference of a gang that does not fit in any rack,
 // even an empty one. It raises the gang's expected run time and remaining work
 // accordingly.
--- a/internal/workflowscheduler/workflowscheduler_test.go
+++ b/internal/workflowscheduler/workflowscheduler_test.go
@@ -329,6 +329,18 @@
 				t.Errorf("starts %v, want one", p.Starts)
 			}
 		}},
+		{"a task returns to a worker where it failed if the others are full for good", func(s *Snapshot) {
+			for w := range 3 {
+				addRun(s, w, "x", needGPUs(8), second, func(r *Running) { r.Persistent = true })
+			}
+			g := newGroup("a", 1, needGPUs(8))
+			g.Avoid, g.WaitedFor = map[string]bool{"w03": true}, avoidLimit
+			s.Groups = []Group{g}
+		}, func(t *testing.T, _ *Snapshot, p *Plan) {
+			if got := startedOn(p, 0); !slices.Equal(got, []string{"w03"}) {
+				t.Errorf("placed on %v, want the worker where it failed, w03", got)
+			}
+		}},
 		{"a gang larger than all workers never fits", func(s *Snapshot) {
 			g := newGroup("a", 9, needGPUs(8))
 			g.Gang = true
