--- a/internal/scheduler/guarantee/guarantee_test.go
+++ b/internal/scheduler/guarantee/guarantee_test.go
@@ -70,6 +70,22 @@
 	}
 }
 
+// TestEqualUnitsShareTheWorkerOfASmallRack guards against a packing that is not found: equal units of
+// one worker are tried in the order of nodes, and a rack has fewer workers than the last one's index.
+func TestEqualUnitsShareTheWorkerOfASmallRack(t *testing.T) {
+	accounts := []structs.Account{
+		testAccount("a", guaranteeOf(1, 2, 1, structs.AdjacentRack)), testAccount("b", guaranteeOf(2, 2, 4, structs.AdjacentZone)),
+		testAccount("c", guaranteeOf(2, 1, 4, structs.AdjacentRack)),
+	}
+	p, _ := declaredProblem(rackHardware(1, 1, 3, 2), "d")
+	for _, lost := range []int{0, 6} {
+		p.Sites[lost].Avail, p.Sites[lost].Slots = 0, 0
+	}
+	if blocks, res := p.Pack(UnitsOf(accounts, "d"), admitSearchSteps); res != Packed {
+		t.Errorf("result %v with the blocks %+v, want a packing", res, blocks)
+	}
+}
+
 // TestAdmittedGuaranteesPackWithinMargin guards against packings with overlapping or
 // malformed blocks, and against margins that the loss of some set of workers disproves.
 func TestAdmittedGuaranteesPackWithinMargin(t *testing.T) {
