Search nodes with gangs of other accounts one by one

Callers would have seen a job wait, or a manifest change refused, although the guarantees pack.

Cause: the search for a packing skips a node if an equal one was tried for the same member. Nodes counted as equal by what the member's own account has there. Only the account of a gang that cannot be reclaimed may use its place, so that such nodes differ for the units that follow.

Change: nodes with gangs that cannot be reclaimed are never skipped.

--- a/internal/scheduler/guarantee/search.go
+++ b/internal/scheduler/guarantee/search.go
@@ -55,7 +55,7 @@
 	if !p.enoughAccelerators(units) {
 		return best, Impossible
 	}
-	b, left := p.search(units, budget)
+	b, left := p.search(units, placementOrder(units), budget)
 	switch {
 	case b != nil:
 		return b, Packed
@@ -97,10 +97,11 @@
 	restricted []bool
 }
 
-// search returns a packing of all units and the steps left. The packing is nil if
-// none exists or the steps run out; in the latter case no steps are left.
-func (p *Problem) search(units []Unit, steps int) ([]Block, int) {
-	s := &searcher{p: p, units: units, order: placementOrder(units), blocks: make([]Block, len(units)), steps: steps, restricted: make([]bool, len(p.Sites))}
+// search returns a packing of all units, which it places in the order of their indexes in order,
+// and the steps left. The packing is nil if none exists or the steps run out; in the latter
+// case no steps are left.
+func (p *Problem) search(units []Unit, order []int, steps int) ([]Block, int) {
+	s := &searcher{p: p, units: units, order: order, blocks: make([]Block, len(units)), steps: steps, restricted: make([]bool, len(p.Sites))}
 	for a := range p.OwnGangs {
 		for _, o := range p.OwnGangs[a] {
 			s.restricted[o.Node] = s.restricted[o.Node] || o.NonReclaimable
@@ -174,8 +175,9 @@
 			return false
 		}
 		s.p.loadAccount(s.units[i].Account)
+		// Restricted nodes are not interchangeable: other accounts may have gangs there.
 		key := nodeSignature{s.p.Sites[node], s.p.overlays[node]}
-		if slices.Contains(tried, key) {
+		if !s.restricted[node] && slices.Contains(tried, key) {
 			continue
 		}
 		tried = append(tried, key)
