--- a/internal/workflowowner/attempts.go
+++ b/internal/workflowowner/attempts.go
@@ -13,8 +13,8 @@
 )
 
 // attemptReservation has the attempt numbers of a task that an owner has reserved beyond those
-// of its epoch. They are usable up to usable. Those up to through are once the generation gen
-// of the progress is durable.
+// of its epoch: those up to usable may be used, those up to through once generation gen of the
+// progress is durable.
 type attemptReservation struct {
 	usable, through int
 	gen             uint64
@@ -52,12 +52,12 @@
 	j.highestAttempt = max(j.highestAttempt, attempt)
 }
 
-// attemptUsable reports whether the tasks, one or all members of a gang, may use their next
-// attempt number. If few numbers are left, it reserves more.
+// attemptUsable reports whether the tasks, one task or the members of a gang, may use their next
+// attempt number. It reserves more numbers if few are left.
 func (o *Owner) attemptUsable(j *job, tasks []workflow.TaskID) bool {
 	spec, limit := &j.record.Spec, o.lastEpochAttempt()
-	reservedBefore := len(j.progress.StepProgress(spec, stepOf(tasks[0])).Attempts) > 0
-	if !reservedBefore && j.highestAttempt+attemptMargin < limit {
+	reserved := len(j.progress.StepProgress(spec, stepOf(tasks[0])).Attempts) > 0
+	if !reserved && j.highestAttempt+attemptMargin < limit {
 		return true
 	}
 	next := o.nextAttempt(j, tasks)
