--- a/internal/workflowowner/avoid_test.go
+++ b/internal/workflowowner/avoid_test.go
@@ -18,8 +18,8 @@
 	}{{"ordinary", false, 12 * time.Second}, {"persistent", true, 6 * time.Second}} {
 		t.Run(c.name, func(t *testing.T) {
 			runOwner(t, func(*harness) {}, func(r *harness) {
-				lasting := workflow.Step{Tasks: 1, Need: workflow.Resources{CPUMilli: 40000}, Estimate: 1000, Persistent: true}
-				r.submit(otherJob, lasting)
+				persistent := workflow.Step{Tasks: 1, Need: workflow.Resources{CPUMilli: 40000}, Estimate: 1000, Persistent: true}
+				r.submit(otherJob, persistent)
 				busy := r.awaitStarts("full", "a", 1, time.Second)
 				step := workflow.Step{Tasks: 1, Need: workflow.Resources{CPUMilli: 25000}, Estimate: 1000, Persistent: c.persistent}
 				r.submit(testJob, step)
--- a/internal/workflowowner/probe_test.go
+++ b/internal/workflowowner/probe_test.go
@@ -8,8 +8,8 @@
 	"github.com/parsleypier/parsleypier/internal/workflowrpc"
 )
 
-// lastingWorker reports a worker whose runs stay at work unless the test ends them.
-type lastingWorker struct {
+// persistentWorker reports a worker whose runs stay at work unless the test ends them.
+type persistentWorker struct {
 	r       *harness
 	seq     uint64
 	ends    []workflowrpc.End
@@ -18,7 +18,7 @@
 }
 
 // exchange makes calls for a time.
-func (w *lastingWorker) exchange(d time.Duration) {
+func (w *persistentWorker) exchange(d time.Duration) {
 	for deadline := time.Now().Add(d); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 		reply := w.r.report("w", "a", 1, func(a *workflowrpc.SyncArgs) {
 			a.Ends, a.Wait = w.ends, 20*time.Millisecond
@@ -38,33 +38,33 @@
 	}
 }
 
-func (w *lastingWorker) end(id workflow.RunID, kind workflow.EndKind) {
+func (w *persistentWorker) end(id workflow.RunID, kind workflow.EndKind) {
 	delete(w.running, id)
 	w.seq++
 	w.ends = append(w.ends, workflowrpc.End{Seq: w.seq, ID: id, Kind: kind})
 }
 
 // failAll ends all runs as failed.
-func (w *lastingWorker) failAll() {
+func (w *persistentWorker) failAll() {
 	for id := range w.running {
 		w.end(id, workflow.EndFailed)
 	}
 }
 
-// submitLasting stores a job of one persistent task, by its queue.
-func (r *harness) submitLasting(id, queue string) {
+// submitPersistent stores a job of one persistent task, by its queue.
+func (r *harness) submitPersistent(id, queue string) {
 	step := newStep(1)
 	step.Persistent = true
 	r.putJSON(workflow.RecordPrefix+id, workflow.Record{ID: id, Queue: queue, Account: "a", Spec: workflow.Spec{Steps: []workflow.Step{step}}})
 }
 
-// TestLastingTasksReturnToRecoveredWorker guards against a worker that gets a single task for good
+// TestPersistentTasksReturnToRecoveredWorker guards against a worker that gets a single task for good
 // after it was quarantined: its probe is a persistent task, which never completes.
-func TestLastingTasksReturnToRecoveredWorker(t *testing.T) {
+func TestPersistentTasksReturnToRecoveredWorker(t *testing.T) {
 	runOwner(t, func(*harness) {}, func(r *harness) {
-		w := &lastingWorker{r: r, running: map[workflow.RunID]time.Time{}, failing: true}
-		r.submitLasting(testJob, "q")
-		r.submitLasting(otherJob, "q2")
+		w := &persistentWorker{r: r, running: map[workflow.RunID]time.Time{}, failing: true}
+		r.submitPersistent(testJob, "q")
+		r.submitPersistent(otherJob, "q2")
 		w.exchange(time.Second)
 		if w.seq < 2 {
 			r.t.Fatalf("%d runs have failed, want both", w.seq)
@@ -77,16 +77,16 @@
 	})
 }
 
-// TestProbedWorkerWithLastingTask guards against a quarantined worker that gets no other task because
+// TestProbedWorkerWithPersistentTask guards against a quarantined worker that gets no other task because
 // a persistent one is at work there.
-func TestProbedWorkerWithLastingTask(t *testing.T) {
+func TestProbedWorkerWithPersistentTask(t *testing.T) {
 	runOwner(t, func(*harness) {}, func(r *harness) {
-		w := &lastingWorker{r: r, running: map[workflow.RunID]time.Time{}}
-		r.submitLasting(testJob, "q")
+		w := &persistentWorker{r: r, running: map[workflow.RunID]time.Time{}}
+		r.submitPersistent(testJob, "q")
 		w.exchange(3 * time.Second)
 		w.failing = true
-		r.submitLasting(otherJob, "q2")
-		r.submitLasting("5c0e7a21d94b36fa", "q3")
+		r.submitPersistent(otherJob, "q2")
+		r.submitPersistent("5c0e7a21d94b36fa", "q3")
 		w.exchange(2 * time.Second)
 		w.failing = false
 		w.exchange(13 * time.Second)
@@ -96,13 +96,13 @@
 	})
 }
 
-// TestFailuresOfLastingTasksDoNotQuarantine guards against a healthy worker that gets no work for
+// TestFailuresOfPersistentTasksDoNotQuarantine guards against a healthy worker that gets no work for
 // seconds because persistent tasks, which may fail at any time, have failed there.
-func TestFailuresOfLastingTasksDoNotQuarantine(t *testing.T) {
+func TestFailuresOfPersistentTasksDoNotQuarantine(t *testing.T) {
 	runOwner(t, func(*harness) {}, func(r *harness) {
-		w := &lastingWorker{r: r, running: map[workflow.RunID]time.Time{}}
+		w := &persistentWorker{r: r, running: map[workflow.RunID]time.Time{}}
 		for i, id := range []string{testJob, otherJob, "5c0e7a21d94b36fa"} {
-			r.submitLasting(id, string(rune('q'+i)))
+			r.submitPersistent(id, string(rune('q'+i)))
 		}
 		for n := range 5 {
 			w.exchange(4 * time.Second)
--- a/internal/workflowscheduler/workflowscheduler.go
+++ b/internal/workflowscheduler/workflowscheduler.go
@@ -211,9 +211,9 @@
 	// to still need.
 	overdueShare = 0.25
 	minRemaining = 200 * time.Millisecond // the least remaining run time assumed of a run
-	// avoidLimit is how long a group waits for workers other than those that it avoids.
-	// Workers that fail all that they start have mostly recovered by then. Persistent tasks
-	// may fail any number of times, and wait for persistentAvoidLimit.
+	// avoidLimit is how long a group waits for workers other than those that it avoids, which
+	// need time to recover. Persistent tasks, which may fail any number of times, wait for
+	// persistentAvoidLimit.
 	avoidLimit           = 8 * time.Second
 	persistentAvoidLimit = 3 * time.Second
 	// idleWaitLimit is how long a group waits for reservations of other work while most
