Choose the nodes of a single worker in one place

The search for a packing treated units of one worker as a special case. The nodes that a shape may use are now said by Problem.groups alone, for the greedy packing and the search.

--- a/internal/scheduler/guarantee/pack.go
+++ b/internal/scheduler/guarantee/pack.go
@@ -228,7 +228,7 @@
 
 // placeGang returns the cheapest place for a unit of several workers, or nil.
 func (p *Problem) placeGang(shape structs.Shape) []packing.Cell {
-	groups := p.groups(shape.Adjacency)
+	groups := p.groups(shape)
 	var cells []packing.Cell
 	bestCost := 0
 	for _, g := range groups {
@@ -256,12 +256,15 @@
 
 var allNodesGroup = [][]int32{nil}
 
-// groups returns the sets of nodes to try; a nil set means all nodes.
-func (p *Problem) groups(a structs.Adjacency) [][]int32 {
-	switch a {
-	case structs.AdjacentRack:
+// groups returns the sets of nodes to try for a unit; a nil set means all nodes. A single
+// worker is always in one rack and in one zone.
+func (p *Problem) groups(shape structs.Shape) [][]int32 {
+	switch {
+	case shape.Workers == 1:
+		return allNodesGroup
+	case shape.Adjacency == structs.AdjacentRack:
 		return p.Racks
-	case structs.AdjacentZone:
+	case shape.Adjacency == structs.AdjacentZone:
 		return p.Zones
 	}
 	return allNodesGroup
--- a/internal/scheduler/guarantee/search.go
+++ b/internal/scheduler/guarantee/search.go
@@ -130,16 +130,13 @@
 	}
 	i := s.order[n]
 	u := &s.units[i]
-	groups, from := s.p.groups(u.Shape.Adjacency), 0
-	if u.Shape.Workers == 1 {
-		groups = allNodesGroup // a single worker is always in one rack and in one zone
-	}
+	from := 0
 	if n > 0 && s.units[s.order[n-1]] == *u && u.Shape.Workers == 1 {
 		// Equal single-worker units are placed in node order, because any other
 		// order gives the same packings.
 		from = s.blocks[s.order[n-1]].Cells[0].Node
 	}
-	for _, g := range groups {
+	for _, g := range s.p.groups(u.Shape) {
 		s.blocks[i].Cells = make([]packing.Cell, 0, u.Shape.Workers)
 		if s.placeMember(n, g, from) {
 			return true
