Complete a gang only because of its own members

A row of another writer could name members that a gang does not have. The owner then took the gang as done. Such a row has no effect now; TestCompleteGangs checks it.

--- a/internal/workflow/chunk.go
+++ b/internal/workflow/chunk.go
@@ -98,11 +98,11 @@
 	changed := false
 	for t, part := range p.partsOf(s) {
 		step := &s.Steps[t.Step]
-		if !step.Gang || len(part.Done) == 0 || len(part.Done) >= step.Tasks {
-			continue
+		member := func(i int) bool { return i >= 0 && i < step.Tasks }
+		if step.Gang && len(part.Done) < step.Tasks && slices.ContainsFunc(part.Done, member) {
+			p.completeGang(s, t)
+			changed = true
 		}
-		p.completeGang(s, t)
-		changed = true
 	}
 	return changed
 }
--- a/internal/workflow/chunk_test.go
+++ b/internal/workflow/chunk_test.go
@@ -198,3 +198,19 @@
 		t.Errorf("row %s, err %v; want only task 3", value, err)
 	}
 }
+
+// TestCompleteGangs guards against a gang that counts as completed because of a row that names
+// members it does not have.
+func TestCompleteGangs(t *testing.T) {
+	spec := &Spec{Steps: []Step{{Tasks: 3, Gang: true}, {Tasks: 3}}}
+	for _, c := range []struct {
+		done []int
+		want int
+	}{{nil, 0}, {[]int{1}, 3}, {[]int{0, 1, 2}, 3}, {[]int{7}, 1}, {[]int{-1}, 1}} {
+		p := &Progress{Parts: map[int]*StepProgress{0: {Done: c.done}, 1: {Done: []int{0}}, 9: {Done: []int{0}}, -1: {Done: []int{0}}, 2: nil}}
+		changed := p.CompleteGangs(spec)
+		if n := len(p.Parts[0].Done); n != c.want || changed != (n != len(c.done)) || len(p.Parts[1].Done) != 1 {
+			t.Errorf("done %v: %d members are done, changed %v, and %d of the other step; want %d and 1", c.done, n, changed, len(p.Parts[1].Done), c.want)
+		}
+	}
+}
