--- a/internal/workflowowner/attempts.go
+++ b/internal/workflowowner/attempts.go
@@ -52,14 +52,15 @@
 	j.highestAttempt = max(j.highestAttempt, attempt)
 }
 
+// attemptsScarce reports whether a step has tasks that may need reserved attempt numbers.
+func (o *Owner) attemptsScarce(j *job, step *workflow.StepProgress) bool {
+	return j.highestAttempt+attemptMargin >= o.lastEpochAttempt() || len(step.Attempts) > 0
+}
+
 // attemptUsable reports whether the tasks, one task or the members of a gang, may use their next
 // attempt number. It reserves more numbers if few are left.
 func (o *Owner) attemptUsable(j *job, tasks []workflow.TaskID) bool {
-	spec, limit := &j.record.Spec, o.lastEpochAttempt()
-	reserved := len(j.progress.StepProgress(spec, stepOf(tasks[0])).Attempts) > 0
-	if !reserved && j.highestAttempt+attemptMargin < limit {
-		return true
-	}
+	limit := o.lastEpochAttempt()
 	next := o.nextAttempt(j, tasks)
 	r := j.reserved[tasks[0]]
 	if r != nil && j.durableGen >= r.gen {
@@ -77,7 +78,7 @@
 			}
 		}
 		r.through = max(limit, next) + attemptsPerEpoch
-		j.progress.ReserveAttempts(spec, tasks[0], r.through)
+		j.progress.ReserveAttempts(&j.record.Spec, tasks[0], r.through)
 		o.markChanged(j)
 		r.gen = j.progressGen
 	}
--- a/internal/workflowowner/cycle.go
+++ b/internal/workflowowner/cycle.go
@@ -293,6 +293,7 @@
 		Job: j.id, ID: stepID, Need: step.HeldResources(), Gang: step.Gang, SameRack: step.SameRack, DataRack: step.DataRack, Label: step.Label, Pool: j.record.Pool,
 		MaxPerWorker: step.MaxPerWorker, Avoid: j.avoid, Persistent: step.Persistent,
 	}
+	scarce := o.attemptsScarce(j, progress)
 	var gang []workflow.TaskID
 	for i := range step.Tasks {
 		task := workflow.TaskID{Job: j.id, Occurrence: stepID.Occurrence, Step: stepID.Step, Index: i}
@@ -308,17 +309,15 @@
 			}
 			continue
 		}
-		switch {
-		case progress.IsDone(i):
-			continue
-		case step.Gang:
-			gang = append(gang, task)
-		case !o.attemptUsable(j, []workflow.TaskID{task}):
+		if progress.IsDone(i) || scarce && !step.Gang && !o.attemptUsable(j, []workflow.TaskID{task}) {
 			continue
 		}
 		g.Tasks = append(g.Tasks, i)
+		if scarce && step.Gang {
+			gang = append(gang, task)
+		}
 	}
-	if len(g.Tasks) == 0 || step.Gang && !o.attemptUsable(j, gang) {
+	if len(g.Tasks) == 0 || len(gang) > 0 && !o.attemptUsable(j, gang) {
 		return g, false
 	}
 	if j.readySince[stepID] == 0 {
