--- a/internal/workflowowner/probe_test.go
+++ b/internal/workflowowner/probe_test.go
@@ -13,7 +13,7 @@
 	r       *harness
 	seq     uint64
 	ends    []workflowrpc.End
-	running map[workflow.RunID]time.Time // since when
+	running map[workflow.RunID]bool
 	failing bool
 }
 
@@ -30,7 +30,7 @@
 			w.ends = w.ends[1:]
 		}
 		for _, s := range reply.Start {
-			w.running[s.ID] = time.Now()
+			w.running[s.ID] = true
 			if w.failing {
 				w.end(s.ID, workflow.EndFailed)
 			}
@@ -62,7 +62,7 @@
 // after it was quarantined: its probe is a persistent task, which never completes.
 func TestPersistentTasksReturnToRecoveredWorker(t *testing.T) {
 	runOwner(t, func(*harness) {}, func(r *harness) {
-		w := &persistentWorker{r: r, running: map[workflow.RunID]time.Time{}, failing: true}
+		w := &persistentWorker{r: r, running: map[workflow.RunID]bool{}, failing: true}
 		r.submitPersistent(testJob, "q")
 		r.submitPersistent(otherJob, "q2")
 		w.exchange(time.Second)
@@ -81,7 +81,7 @@
 // a persistent one is at work there.
 func TestProbedWorkerWithPersistentTask(t *testing.T) {
 	runOwner(t, func(*harness) {}, func(r *harness) {
-		w := &persistentWorker{r: r, running: map[workflow.RunID]time.Time{}}
+		w := &persistentWorker{r: r, running: map[workflow.RunID]bool{}}
 		r.submitPersistent(testJob, "q")
 		w.exchange(3 * time.Second)
 		w.failing = true
@@ -100,7 +100,7 @@
 // seconds because persistent tasks, which may fail at any time, have failed there.
 func TestFailuresOfPersistentTasksDoNotQuarantine(t *testing.T) {
 	runOwner(t, func(*harness) {}, func(r *harness) {
-		w := &persistentWorker{r: r, running: map[workflow.RunID]time.Time{}}
+		w := &persistentWorker{r: r, running: map[workflow.RunID]bool{}}
 		for i, id := range []string{testJob, otherJob, "5c0e7a21d94b36fa"} {
 			r.submitPersistent(id, string(rune('q'+i)))
 		}
