--- a/internal/workflowscheduler/workflowscheduler.go
+++ b/internal/workflowscheduler/workflowscheduler.go
@@ -29,9 +29,9 @@
 	Free workflow.Resources
 	// Usable workers may receive starts.
 	Usable bool
-	// Slowdown is the factor by which tasks run longer there than on a healthy worker;
-	// values below 1 count as 1.
-	Slowdown float64
+	// Slowdown is the factor by which tasks run longer there than on a reference worker;
+	// 0 means 1. SlowdownError is the standard deviation of its logarithm, 0 if it is exact.
+	Slowdown, SlowdownError float64
 	// Probe limits the worker to one task at a time, to test whether it is healthy. Proven is the
 	// capacity held by runs that do not count for that, since they have passed the test.
 	Probe  bool
@@ -71,8 +71,9 @@
 	// Isolation keeps the tasks apart from other work, because they may have crashed a
 	// worker.
 	Isolation workflow.Isolation
-	// Expected is the expected run time of a task on a healthy worker near its data.
-	Expected time.Duration
+	// Expected is the median run time of a task on a reference worker near its data, and
+	// ExpectedHigh its 90th percentile.
+	Expected, ExpectedHigh time.Duration
 	// CriticalPath is the critical path of the job's remaining work, including this
 	// step.
 	CriticalPath time.Duration
@@ -111,8 +112,9 @@
 	Worker string
 	Need   workflow.Resources
 	Gang   bool
-	// EndsAt is the expected end on the clock of Snapshot.Now.
-	EndsAt time.Duration
+	// EndsAt is the median of the run's end, given how long it has run and how far it is, and
+	// EndsAtHigh the 90th percentile. Both are on the clock of Snapshot.Now.
+	EndsAt, EndsAtHigh time.Duration
 	// Priority 0 is the highest.
 	Priority int
 	// Guaranteed runs are never preempted.
