--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -294,7 +294,17 @@
 	if !ok {
 		return 0
 	}
-	h := fnv.New32a()
-	h.Write([]byte(worker)) // never returns an error
-	return at + time.Duration(float64(ReturnTime)*float64(h.Sum32())/math.MaxUint32)
+	return at + time.Duration(float64(ReturnTime)*spread(worker))
+}
+
+// spread maps a name to a number from 0 to 1. Names that differ in one character are mapped far
+// apart: the hash alone would leave them together.
+func spread(name string) float64 {
+	h := fnv.New64a()
+	h.Write([]byte(name)) // never returns an error
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return float64(x) / math.MaxUint64
 }
