Bring requests to evacuate a zone to all entries with the configuration

The calls that follow the operator's table, ask peers and announce versions now also carry the rows evacuate/ZONE.

--- a/cmd/parsleypierd/hosted.go
+++ b/cmd/parsleypierd/hosted.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/parsleypier/parsleypier/internal/boottime"
+	"github.com/parsleypier/parsleypier/internal/evacuation"
 	"github.com/parsleypier/parsleypier/internal/eventlog"
 	"github.com/parsleypier/parsleypier/internal/rowstore"
 	"github.com/parsleypier/parsleypier/internal/rpc"
@@ -97,6 +98,7 @@
 		ID: s.Process, RPCAddr: s.RPCAddr, Seeds: s.Seeds, Zone: s.Zone, MilliCores: s.MilliCores, StoreCall: platform.NewStoreCallFunc(s.StoreAddr), NewStore: newStore,
 		MaxRowBytes:   s.MaxRowBytes,
 		OperatorTable: platform.OperatorTable, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig, MaxConfigAge: s.Bounds.ApplyLimit, Log: log,
+		EvacuationPrefix: platform.EvacuationPrefix, Evacuation: evacuation.Limits{Bound: s.Bounds.EvacuationLimit, Contact: s.Bounds.ContactTime},
 		Caller: pool, Advisor: platform.NewAdvisor(s.AdviceAddr), Clock: boottime.Now, ProcessGone: workflowdaemon.ProcessGone,
 		Times: workflowowner.Times{
 			Lease: s.Bounds.MaxLease, StopGrace: s.Bounds.StopGrace, GangWait: s.Bounds.GangWait, JobRetention: s.Bounds.JobRetention,
--- a/internal/rowstore/mirror.go
+++ b/internal/rowstore/mirror.go
@@ -61,14 +61,22 @@
 	// changes, with the time on Clock at which the call began; nil for nothing. It must be
 	// set before Run.
 	OnCurrent func(at time.Duration)
+	// OnRead is called with what each successful call has read, before the feed continues
+	// after it; nil for nothing. It must be set before Run.
+	OnRead func(Read)
 
 	mu      sync.Mutex
 	rows    map[string]Row
 	version uint64
 	loaded  bool
 	// call is the call of Run that is in progress.
-	call        feedCall
-	currentAsOf time.Duration // start of the last call that succeeded, on Clock
+	call feedCall
+	// unanswered has the reads in progress: when each began, on Clock, and from when it is
+	// overdue. unansweredAt is when the newest read began that has failed.
+	unanswered   map[*pendingRead]bool
+	unansweredAt time.Duration
+	hasFailed    bool
+	currentAsOf  time.Duration // start of the last call that succeeded, on Clock
 	// answeredAt is when that call was answered.
 	answeredAt time.Time
 	failing    bool          // the last call failed
@@ -83,6 +91,20 @@
 	cancel context.CancelCauseFunc
 }
 
+// Read is what a call of a Mirror has read.
+type Read struct {
+	// Rows are the rows of the table if Complete is set, and otherwise those that changed
+	// after the version After. Version is that up to which they have all changes.
+	Rows           []Row
+	Complete       bool
+	After, Version uint64
+	// Began is when the call began, on Mirror.Clock.
+	Began time.Duration
+}
+
+// pendingRead is a read in progress.
+type pendingRead struct{ began, overdueAt time.Duration }
+
 // errGivenUp is the cause with which Refresh ends an overdue call of Run.
 var errGivenUp = errors.New("another call was answered first")
 
@@ -93,7 +115,7 @@
 	}
 	started := time.Now()
 	return &Mirror{
-		store: store, table: table, log: log, onChange: onChange, rows: map[string]Row{}, advanced: make(chan struct{}),
+		store: store, table: table, log: log, onChange: onChange, rows: map[string]Row{}, advanced: make(chan struct{}), unanswered: map[*pendingRead]bool{},
 		Clock: func() time.Duration { return time.Since(started) }, RetryDelay: defaultRetryDelay,
 	}
 }
@@ -142,6 +164,7 @@
 	load, version := !m.loaded || m.failing && m.ReloadAfterFailure, m.version
 	m.mu.Unlock()
 	started := m.Clock()
+	defer m.trackRead(ctx, started, wait)(&err)
 	if load {
 		return false, m.load(ctx, started)
 	}
@@ -153,10 +176,41 @@
 	if err != nil {
 		return false, err
 	}
-	m.apply(page, started, false)
+	m.apply(Read{Rows: page.Rows, After: version, Version: page.Version, Began: started})
 	return len(page.Rows) > 0, nil
 }
 
+// trackRead records a read in progress. The function that it returns records its end.
+func (m *Mirror) trackRead(ctx context.Context, began, wait time.Duration) func(err *error) {
+	r := &pendingRead{began, began + wait + feedGrace}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unanswered[r] = true
+	return func(err *error) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.unanswered, r)
+		// A call that was ended from here says nothing about the store.
+		if *err != nil && !errors.Is(context.Cause(ctx), errGivenUp) && !errors.Is(context.Cause(ctx), context.Canceled) {
+			m.unansweredAt, m.hasFailed = max(m.unansweredAt, began), true
+		}
+	}
+}
+
+// UnansweredAsOf returns when the newest read began that has failed or is overdue, on Clock;
+// false if there was none. The store did not answer this process then.
+func (m *Mirror) UnansweredAsOf() (time.Duration, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at, ok := m.unansweredAt, m.hasFailed
+	for r := range m.unanswered {
+		if m.Clock() > r.overdueAt && (!ok || r.began > at) {
+			at, ok = r.began, true
+		}
+	}
+	return at, ok
+}
+
 // SkipTo makes the feed continue after a version. The caller has the changes up to it that
 // matter to it from elsewhere; the mirror's rows lack them.
 func (m *Mirror) SkipTo(version uint64) {
@@ -213,13 +267,13 @@
 		}
 		from = page.Rows[len(page.Rows)-1].Key + "\x00"
 	}
-	m.apply(all, started, true)
+	m.apply(Read{Rows: all.Rows, Complete: true, Version: all.Version, Began: started})
 	return nil
 }
 
-// apply stores the rows of the page that are newer than the known ones. If complete,
-// the page is the whole table: rows that are not on it have been deleted.
-func (m *Mirror) apply(page Page, started time.Duration, complete bool) {
+// apply stores the rows that are newer than the known ones. Rows that are not on a complete
+// read have been deleted.
+func (m *Mirror) apply(page Read) {
 	m.mu.Lock()
 	var updates []Row
 	seen := map[string]bool{}
@@ -235,7 +289,7 @@
 		}
 		updates = append(updates, r)
 	}
-	if complete {
+	if page.Complete {
 		for key, old := range m.rows {
 			if !seen[key] && old.Version <= page.Version {
 				delete(m.rows, key)
@@ -247,16 +301,19 @@
 	if len(updates) > 0 {
 		m.onChange(updates)
 	}
+	if m.OnRead != nil {
+		m.OnRead(page)
+	}
 	m.mu.Lock()
 	m.version = max(m.version, page.Version)
-	m.loaded, m.currentAsOf, m.answeredAt = true, started, time.Now()
+	m.loaded, m.currentAsOf, m.answeredAt = true, page.Began, time.Now()
 	regained := m.failing
 	m.failing = false
 	close(m.advanced)
 	m.advanced = make(chan struct{})
 	m.mu.Unlock()
 	if m.OnCurrent != nil {
-		m.OnCurrent(started)
+		m.OnCurrent(page.Began)
 	}
 	if regained {
 		m.log.Event("store_regained", "table", m.table, "version", page.Version)
--- a/internal/rowstorestub/rowstorestub.go
+++ b/internal/rowstorestub/rowstorestub.go
@@ -103,6 +103,17 @@
 	return t.version
 }
 
+// Delete removes a row unconditionally and without faults, as an operator would, and returns
+// the version of its removal.
+func (t *Table) Delete(table, key string) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.version++
+	t.setRow(rowstore.Row{Table: table, Key: key, Version: t.version, Deleted: true})
+	t.notifyFeeds()
+	return t.version
+}
+
 // Rows returns the rows of a table in ascending order of their keys, at once and without
 // faults.
 func (t *Table) Rows(table string) []rowstore.Row {
--- a/internal/workflowdaemon/config.go
+++ b/internal/workflowdaemon/config.go
@@ -36,6 +36,12 @@
 	requestRefreshDelay = 500 * time.Millisecond
 	// maxConfigRefreshes limits the concurrent calls to a store that does not answer.
 	maxConfigRefreshes = 2
+	// Where zones may be evacuated, a call to a store that does not answer begins at least
+	// every outageProbeInterval, to know when the store last did not answer: see
+	// evacuation.Limits. maxOutageProbes of them are in progress at a time, since each lasts
+	// up to 2 s.
+	outageProbeInterval = 700 * time.Millisecond
+	maxOutageProbes     = 4
 	// maxSmallDocument is the size in bytes up to which a document is sent with its version.
 	maxSmallDocument = 16 << 10
 	// largeDocumentDelay is the time that the store has to deliver a large document before
@@ -47,8 +53,8 @@
 	maxLargeDocuments = 2
 )
 
-// configWatch keeps the configuration in force up to date. It follows the operator's table
-// with calls of its own to the store. As soon as one of them is overdue or has failed, it
+// configWatch keeps the configuration in force, and the view of the zones that are evacuated,
+// up to date. It follows the operator's table with calls of its own to the store. As soon as one of them is overdue or has failed, it
 // asks other entries for their version, several at a time, and sends further calls to the
 // store. No call waits for another one, so one process that does not answer delays nothing.
 // Entries also announce new versions to each other, which costs a short message where the
@@ -58,6 +64,8 @@
 	opts   EntryOptions
 	active *gateway.ActiveConfig
 	mirror *rowstore.Mirror
+	// evacuations has the zones that the operator has evacuated.
+	evacuations *evacuations
 	// peers returns the RPC addresses of the other entries.
 	peers func() []string
 
@@ -70,7 +78,8 @@
 	mu        sync.Mutex
 	asking    map[string]bool // peers with a call in progress
 	nextPeer  int
-	refreshes int // calls of Refresh in progress
+	refreshes int       // calls of Refresh in progress
+	refreshAt time.Time // when the last one began
 	// largeDocuments are calls for large documents in progress, and largeDocumentAt is when
 	// the last one began.
 	largeDocuments  int
@@ -85,6 +94,8 @@
 	w := &configWatch{opts: o, active: active, peers: peers, asking: map[string]bool{}, inForce: make(chan struct{}, 1)}
 	w.mirror = rowstore.NewMirror(o.NewStore(o.StoreCall), o.OperatorTable, o.Log, w.applyRows)
 	w.mirror.Clock, w.mirror.OnCurrent, w.mirror.RetryDelay, w.mirror.ReloadAfterFailure = o.Clock, active.Confirm, configRetryDelay, true
+	w.evacuations = newEvacuations(o, w.announceSoon)
+	w.mirror.OnRead = w.evacuations.applyRead
 	return w
 }
 
@@ -204,10 +215,14 @@
 func (w *configWatch) refresh(ctx context.Context, wg *sync.WaitGroup) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.refreshes == maxConfigRefreshes {
+	limit := maxConfigRefreshes
+	if w.evacuations.enabled() && time.Since(w.refreshAt) >= outageProbeInterval {
+		limit = maxOutageProbes
+	}
+	if w.refreshes >= limit {
 		return
 	}
-	w.refreshes++
+	w.refreshes, w.refreshAt = w.refreshes+1, time.Now()
 	wg.Go(func() {
 		// The mirror logs that the store does not answer.
 		_ = w.mirror.Refresh(ctx)
@@ -235,10 +250,15 @@
 			return
 		}
 		if w.active.SetIfNewer(c, source) {
-			select {
-			case w.inForce <- struct{}{}:
-			default: // the announcement that is due will be of this version
-			}
+			w.announceSoon()
 		}
 	})
 }
+
+// announceSoon makes announce tell other entries of the version in force.
+func (w *configWatch) announceSoon() {
+	select {
+	case w.inForce <- struct{}{}:
+	default: // the announcement that is due will be of this version
+	}
+}
--- a/internal/workflowdaemon/config_peers.go
+++ b/internal/workflowdaemon/config_peers.go
@@ -56,7 +56,8 @@
 	return true
 }
 
-// callPeer asks an entry for its configuration and applies what it sends. If this entry then
+// callPeer asks an entry for its configuration and what it knows of evacuated zones, and
+// applies what it sends. If this entry then
 // has the peer's version or a newer one, it lacks none that was confirmed before the peer was
 // last up to date. callPeer returns nil if the peer has no answer; it is asked again in turn.
 func (w *configWatch) callPeer(ctx context.Context, addr string, timeout time.Duration, large bool) *workflowrpc.ConfigReply {
@@ -64,7 +65,11 @@
 	defer cancel()
 	began := w.opts.Clock()
 	args, reply := &workflowrpc.ConfigArgs{Version: w.version(), Large: large}, &workflowrpc.ConfigReply{}
-	if w.opts.Caller.Call(ctx, addr, workflowrpc.MethodConfig, args, reply) != nil || reply.Version == 0 {
+	if w.opts.Caller.Call(ctx, addr, workflowrpc.MethodConfig, args, reply) != nil {
+		return nil
+	}
+	w.evacuations.merge(reply.Evacuations, began, addr)
+	if reply.Version == 0 {
 		return nil
 	}
 	w.noteVersion(reply.Version)
@@ -78,13 +83,15 @@
 	}
 	if w.has(reply.Version) && reply.Confirmed {
 		w.active.Confirm(at)
-		w.mirror.SkipTo(reply.StoreVersion)
+		if reply.Evacuations.Known || !w.evacuations.enabled() {
+			w.mirror.SkipTo(reply.StoreVersion)
+		}
 	}
 	return reply
 }
 
-// announce tells some other entries of each new version. Every entry does, so most versions
-// reach an entry from several others.
+// announce tells some other entries of each new version and of each change of an evacuation.
+// Every entry does, so most versions reach an entry from several others.
 func (w *configWatch) announce(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -94,13 +101,13 @@
 		case <-ctx.Done():
 			return
 		}
-		version := w.version()
+		version, evacuations := w.version(), w.evacuations.newest()
 		for _, addr := range nextPeers(w.peers(), w.opts.RPCAddr, configAnnouncePeers) {
 			wg.Go(func() {
 				ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 				defer cancel()
 				// An entry that misses this learns of the version by its other ways.
-				args := &workflowrpc.ConfigChangedArgs{Version: version, Addr: w.opts.RPCAddr}
+				args := &workflowrpc.ConfigChangedArgs{Version: version, EvacuationVersion: evacuations, Addr: w.opts.RPCAddr}
 				_ = w.opts.Caller.Call(ctx, addr, workflowrpc.MethodConfigChanged, args, &workflowrpc.ConfigChangedReply{})
 			})
 		}
@@ -118,22 +125,23 @@
 	return out
 }
 
-// versionAnnounced asks the entry that has announced a version for it, if the store does not
-// deliver it first.
-func (w *configWatch) versionAnnounced(version uint64, addr string) {
+// versionAnnounced asks the entry that has announced a version, or a change of an evacuation,
+// for it, if the store does not deliver it first.
+func (w *configWatch) versionAnnounced(version, evacuations uint64, addr string) {
 	w.noteVersion(version)
-	if w.has(version) {
+	known := func() bool { return w.has(version) && w.evacuations.includes(evacuations) }
+	if known() {
 		return
 	}
 	ctx := context.Background()
 	if w.mirror.StoreResponding() {
 		time.Sleep(configAnnounceDelay)
-		if w.has(version) || w.callPeer(ctx, addr, peerTimeout, false) == nil || w.has(version) {
+		if known() || w.callPeer(ctx, addr, peerTimeout, false) == nil || known() {
 			return
 		}
 		time.Sleep(largeDocumentDelay)
 	}
-	if !w.has(version) {
+	if !known() {
 		w.askPeer(ctx, addr)
 	}
 }
--- a/internal/workflowdaemon/entry.go
+++ b/internal/workflowdaemon/entry.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/parsleypier/parsleypier/internal/election"
+	"github.com/parsleypier/parsleypier/internal/evacuation"
 	"github.com/parsleypier/parsleypier/internal/eventlog"
 	"github.com/parsleypier/parsleypier/internal/gateway"
 	"github.com/parsleypier/parsleypier/internal/panicguard"
@@ -75,6 +76,10 @@
 	// MaxConfigAge is the time after which a configuration that the operator has stored must
 	// be in force at every entry.
 	MaxConfigAge time.Duration
+	// EvacuationPrefix is the prefix of the keys of the operator's requests to evacuate zones,
+	// followed by the name of the zone. Evacuation has the limits that apply.
+	EvacuationPrefix string
+	Evacuation       evacuation.Limits
 	// Times are the durations that the owner works with, such as that of a lease.
 	Times workflowowner.Times
 	Log   *eventlog.Log
@@ -128,6 +133,7 @@
 	e.tableMirror = rowstore.NewMirror(e.store, Table, o.Log, e.applyRows)
 	e.tableMirror.Pace, e.tableMirror.Clock = e.feedDelay, o.Clock
 	e.config = newConfigWatch(o, e.Config, e.peerAddrsOrSeeds)
+	e.config.evacuations.onChange = e.evacuationsChanged
 	e.Gateway = gateway.New(gateway.Options{Store: e.store, Mirror: e.tableMirror, Table: Table, MaxRowBytes: o.MaxRowBytes, Log: o.Log, UnixMillis: unixMillis, OnWrite: e.sendToOwner})
 	e.elector = election.New(election.Options{
 		Store: e.store, Mirror: e.tableMirror, Table: Table, Log: o.Log, Clock: o.Clock,
@@ -262,6 +268,7 @@
 		ID: e.opts.ID, Addr: e.opts.RPCAddr, Epoch: term.Epoch, Version: term.Version, Store: e.store, Mirror: e.tableMirror, Table: Table, MaxRowBytes: e.opts.MaxRowBytes,
 		Config: e.Config, Caller: e.opts.Caller, Advisor: e.opts.Advisor, Log: e.opts.Log, Entries: e.entries.sortedAddrs, Authority: e.mayDecide,
 		OnHigherEpoch: e.elector.NoticeEpoch, OnFencedWrite: e.elector.NoticeFencedWrite, Clock: e.opts.Clock, Decide: workflowscheduler.Decide, Times: e.opts.Times, UnixMillis: unixMillis,
+		Evacuation: e.opts.Evacuation, EvacuationView: e.config.evacuations.view,
 	})
 	e.mu.Lock()
 	e.owner, e.ownerSince, e.peerContacts = o, time.Now(), map[string]peerContact{}
--- a/internal/workflowdaemon/membership.go
+++ b/internal/workflowdaemon/membership.go
@@ -133,11 +133,11 @@
 func (e *Entry) removeIfGone(ctx context.Context, id, addr string) {
 	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	// This only checks that the entry answers. It asks for no promise: epoch 0 is
-	// below the epoch of any owner.
-	// It also tells a restarted entry that the store refuses where to find another entry.
-	args := &workflowrpc.ConfirmArgs{Addr: e.opts.RPCAddr, ConfigVersion: e.config.version()}
-	err := e.opts.Caller.Call(callCtx, addr, workflowrpc.MethodConfirm, args, &workflowrpc.ConfirmReply{})
+	// This checks that the entry answers, and learns what it knows of evacuated zones. It also
+	// tells a restarted entry that the store refuses where to find another entry.
+	reply, began := &workflowrpc.ConfirmReply{}, e.opts.Clock()
+	err := e.opts.Caller.Call(callCtx, addr, workflowrpc.MethodConfirm, e.confirmArgs(), reply)
+	e.config.evacuations.merge(reply.Evacuations, began, addr)
 	e.mu.Lock()
 	c := e.peerContacts[id]
 	if c.firstAsked.IsZero() {
--- a/internal/workflowdaemon/peer.go
+++ b/internal/workflowdaemon/peer.go
@@ -59,18 +59,24 @@
 	var wg sync.WaitGroup
 	var refused atomic.Bool
 	var promised atomic.Int64
+	var outage outageEvidence
+	outage.add(e.config.mirror.UnansweredAsOf())
 	peers, asked := e.peerAddrsByID(), e.opts.Clock()
 	for _, addr := range peers {
 		wg.Go(func() {
 			reply := &workflowrpc.ConfirmReply{}
-			args := &workflowrpc.ConfirmArgs{Epoch: epoch, After: e.syncedVersion(addr), Addr: e.opts.RPCAddr, ConfigVersion: e.config.version()}
+			args := e.confirmArgs()
+			args.Epoch, args.After = epoch, e.syncedVersion(addr)
+			began := e.opts.Clock()
 			err := e.opts.Caller.Call(ctx, addr, workflowrpc.MethodConfirm, args, reply)
+			e.config.evacuations.merge(reply.Evacuations, began, addr)
 			switch {
 			case err != nil:
 			case !reply.Promised || reply.More:
 				refused.Store(true)
 			default:
 				promised.Add(1)
+				outage.add(began-reply.Unanswered, reply.HasUnanswered)
 			}
 			if reply.Epoch > epoch {
 				e.elector.NoticeEpoch(reply.Epoch)
@@ -82,12 +88,19 @@
 	if refused.Load() || 2*(promised.Load()+1) <= int64(len(peers)+1) {
 		return false
 	}
+	outage.apply(e.config.evacuations)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.lastFullSyncRequestedAt = asked
 	return true
 }
 
+// confirmArgs returns the arguments of a call of Confirm that asks for no promise: epoch 0 is
+// below the epoch of any owner.
+func (e *Entry) confirmArgs() *workflowrpc.ConfirmArgs {
+	return &workflowrpc.ConfirmArgs{Addr: e.opts.RPCAddr, ConfigVersion: e.config.version(), EvacuationVersion: e.config.evacuations.newest()}
+}
+
 // syncedVersion returns the version after which a peer should send its rows.
 func (e *Entry) syncedVersion(peer string) uint64 {
 	version := e.tableMirror.Version()
@@ -150,8 +163,9 @@
 func (s *peerService) Confirm(args *workflowrpc.ConfirmArgs, reply *workflowrpc.ConfirmReply) error {
 	if args.Addr != "" {
 		s.entry.addSeed(args.Addr)
-		go s.entry.config.versionAnnounced(args.ConfigVersion, args.Addr)
+		go s.entry.config.versionAnnounced(args.ConfigVersion, args.EvacuationVersion, args.Addr)
 	}
+	s.entry.describeEvacuations(reply)
 	reply.Promised = s.entry.elector.PromiseNotToTakeOver(args.Epoch)
 	if reply.Promised {
 		reply.Rows, reply.More = s.entry.tableMirror.After(args.After, maxConfirmRows)
@@ -186,7 +200,7 @@
 // ConfigChanged learns of a version that is in force at another entry. It replies before it
 // has the version.
 func (s *peerService) ConfigChanged(args *workflowrpc.ConfigChangedArgs, _ *workflowrpc.ConfigChangedReply) error {
-	go s.entry.config.versionAnnounced(args.Version, args.Addr)
+	go s.entry.config.versionAnnounced(args.Version, args.EvacuationVersion, args.Addr)
 	return nil
 }
 
@@ -196,6 +210,7 @@
 	// The age is read first: it then also holds for a version that comes into force between.
 	reply.Age, reply.Confirmed = s.entry.Config.Age()
 	reply.StoreVersion = s.entry.config.mirror.Version()
+	reply.Evacuations = s.entry.config.evacuations.message()
 	if c := s.entry.Config.Current(); c != nil {
 		reply.Version = c.Version
 		if c.Version > args.Version && (args.Large || len(c.Document) <= maxSmallDocument) {
--- a/internal/workflowdaemon/sim_config_test.go
+++ b/internal/workflowdaemon/sim_config_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/parsleypier/parsleypier/internal/evacuation"
 	"github.com/parsleypier/parsleypier/internal/eventlog"
 	"github.com/parsleypier/parsleypier/internal/gateway"
 	"github.com/parsleypier/parsleypier/internal/rowstorestub"
@@ -40,6 +41,8 @@
 	ids     []string
 	// noSeeds starts entries without the addresses of others.
 	noSeeds bool
+	// withoutEvacuation has the entries that are of a version without evacuations.
+	withoutEvacuation map[string]bool
 	// documentSize is the number of bytes by which documents are longer than usual.
 	documentSize int
 
@@ -104,10 +107,15 @@
 	if !s.noSeeds {
 		seeds = slices.DeleteFunc(slices.Clone(s.ids), func(other string) bool { return other == id })
 	}
+	limits := simEvacuation
+	if s.withoutEvacuation[id] {
+		limits = evacuation.Limits{}
+	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	e := NewEntry(EntryOptions{
 		ID: id, RPCAddr: id, Seeds: seeds, Log: s.log, Caller: simCaller{s.net, id}, OperatorTable: "op", ConfigKey: "config",
 		DecodeConfig: decodeTestConfig, MaxConfigAge: simApplyLimit, StoreCall: path.call, NewStore: newCallStore,
+		EvacuationPrefix: simEvacuationPrefix, Evacuation: limits,
 		Clock:       func() time.Duration { return time.Since(s.started) },
 		ProcessGone: func(context.Context, string) bool { return false },
 		Times:       workflowowner.Times{Lease: simMaxLease, StopGrace: simStopGrace, GangWait: simGangWait, JobRetention: time.Minute, RemotePenalty: 3},
@@ -248,9 +256,9 @@
 }
 
 // runConfigSeed runs a deployment under random faults and frequent changes, and returns the
-// faults by kind, the largest delay of a version that had to arrive in time, and the number
-// of these.
-func runConfigSeed(t *testing.T, seed uint64) (faults map[string]int, maxDelay time.Duration, deliveries int) {
+// faults by kind, the largest delay of a version that had to arrive in time, the number of
+// these, and what was checked of evacuations.
+func runConfigSeed(t *testing.T, seed uint64) (faults map[string]int, maxDelay time.Duration, deliveries int, zones evacuationChecker) {
 	faults = map[string]int{}
 	rng := &lockedRand{rng: rand.New(rand.NewPCG(seed, 7))}
 	runConfigSim(t, 3+rng.IntN(5), func(s *configSim) {
@@ -261,6 +269,9 @@
 		for _, id := range s.ids {
 			c.pathSince[id], c.reachableSince[id] = s.started, s.started
 		}
+		z := &evacuationChecker{
+			configChecker: c, rng: &lockedRand{rng: rand.New(rand.NewPCG(seed, 8))}, changed: map[string]time.Time{"a": s.started, "b": s.started}, active: map[string]bool{}, late: map[string]bool{},
+		}
 		end := time.Now().Add(60 * time.Second)
 		storeWorks, unreachable := true, map[string]bool{}
 		var repairs []configRepair
@@ -284,12 +295,14 @@
 				s.change()
 				c.confirmed = append(c.confirmed, now)
 			}
+			z.step()
 			c.observe(storeWorks, unreachable)
+			z.observe()
 			time.Sleep(10 * time.Millisecond)
 		}
-		maxDelay, deliveries = c.maxDelay, c.deliveries
+		maxDelay, deliveries, zones = c.maxDelay, c.deliveries, *z
 	})
-	return faults, maxDelay, deliveries
+	return faults, maxDelay, deliveries, zones
 }
 
 // configRepair ends a fault.
@@ -344,7 +357,8 @@
 }
 
 // Guards against a confirmed configuration that is late, goes back within one run of an
-// entry, or is an old one after a restart, while parts of the store and other entries fail.
+// entry, or is an old one after a restart, while parts of the store and other entries fail, and
+// against requests to evacuate a zone that are late, or starts that are allowed in spite of them.
 // To repeat a failed seed set -sim.seed.
 func TestConfigurationWithRandomFaults(t *testing.T) {
 	seeds := []uint64{*simSeed}
@@ -355,16 +369,22 @@
 		}
 	}
 	seen, worst, total := map[string]int{}, time.Duration(0), 0
+	requests, near, outages := 0, 0, 0
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			faults, maxDelay, deliveries := runConfigSeed(t, seed)
+			faults, maxDelay, deliveries, zones := runConfigSeed(t, seed)
 			for k, n := range faults {
 				seen[k] += n
 			}
 			worst, total = max(worst, maxDelay), total+deliveries
+			requests, near, outages = requests+zones.requests, near+zones.near, outages+zones.outages
 		})
 	}
 	t.Logf("%d versions that had to arrive, the last after %v; faults %v", total, worst, seen)
+	t.Logf("%d requests to evacuate a zone; starts in one were allowed after the request in %d observations, in %d of them because of an outage", requests, near, outages)
+	if len(seeds) > 4 && (requests < 2*len(seeds) || near == 0 || outages == 0) {
+		t.Errorf("the simulations had only %d requests, and starts were allowed in a zone after the request in %d observations, in %d of them because of an outage", requests, near, outages)
+	}
 	if len(seeds) > 4 && (len(seen) < 8 || total < 100*len(seeds)) {
 		t.Errorf("the simulations had only the faults %v and %d versions that had to arrive", seen, total)
 	}
--- a/internal/workflowdaemon/sim_net_test.go
+++ b/internal/workflowdaemon/sim_net_test.go
@@ -22,6 +22,7 @@
 	isolated    map[string]bool           // addresses that reach no other process
 	feedBlocked map[string]bool           // processes that get no answers from the store's feed
 	rowsBlocked map[string]bool           // addresses that get no rows from other entries
+	lostMethods map[string]bool           // methods whose calls get no answer
 	links       map[string]*simLink       // network links of processes with a limited bandwidth
 }
 
@@ -67,7 +68,7 @@
 	service, name, _ := strings.Cut(method, ".")
 	c.net.mu.Lock()
 	target, isolated := c.net.services[addr], c.net.isolated[addr] || c.net.isolated[c.addr]
-	isolated = isolated || method == workflowrpc.MethodRows && c.net.rowsBlocked[addr]
+	isolated = isolated || method == workflowrpc.MethodRows && c.net.rowsBlocked[addr] || c.net.lostMethods[method]
 	c.net.mu.Unlock()
 	if isolated {
 		<-ctx.Done()
