--- a/internal/workflowdaemon/sim_cases_test.go
+++ b/internal/workflowdaemon/sim_cases_test.go
@@ -15,10 +15,16 @@
 // runScenario runs a simulated deployment without random faults, calls f once it is
 // up, and reports the rules that were violated.
 func runScenario(t *testing.T, f func(s *sim)) {
+	t.Helper()
+	runScenarioWithZones(t, nil, f)
+}
+
+// runScenarioWithZones runs a scenario in a deployment with requests to evacuate zones.
+func runScenarioWithZones(t *testing.T, zones *simZones, f func(s *sim)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		s := newSim(ctx, t, 1)
+		s := newSim(ctx, t, 1, zones)
 		time.Sleep(3 * time.Second)
 		f(s)
 		cancel()
--- a/internal/workflowdaemon/sim_faults_test.go
+++ b/internal/workflowdaemon/sim_faults_test.go
@@ -122,6 +122,10 @@
 
 func (s *sim) injectStoreFault(f rowstorestub.Faults, d time.Duration) {
 	s.table.SetFaults(f)
+	if s.zones != nil && len(f.RefusedProcesses) == 0 {
+		s.zones.recordFault(simStore, true)
+		defer s.zones.recordFault(simStore, false)
+	}
 	s.sleep(d)
 	s.table.SetFaults(rowstorestub.Faults{})
 }
--- a/internal/workflowdaemon/sim_history_test.go
+++ b/internal/workflowdaemon/sim_history_test.go
@@ -20,6 +20,7 @@
 //   - LOST: an accepted job does not end, or an entry reports a wrong state for
 //     it.
 //   - LIMIT: a worker gets a start for which it has had no capacity for some time.
+//   - EVAC: a task starts in an evacuated zone after the bound.
 //   - MIXED: a job is reported as completed before all its tasks are done.
 type history struct {
 	mu        sync.Mutex
@@ -47,6 +48,8 @@
 	starts             int
 	ends               map[workflow.EndKind]int
 	violations         []string
+	// zones has the evacuated zones; nil in a deployment without such requests.
+	zones *simZones
 }
 
 func newHistory() *history {
@@ -68,6 +71,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.starts++
+	if h.zones != nil {
+		h.zones.checkStart(r)
+	}
 	t := r.id.Task
 	spec, ok := h.specs[t.Job]
 	if !ok || h.refused[t.Job] {
@@ -102,6 +108,13 @@
 	h.active[t] = append(h.active[t], r)
 }
 
+// startCount returns the number of starts so far.
+func (h *history) startCount() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.starts
+}
+
 func (h *history) recordEnd(r *simRun, kind workflow.EndKind) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/workflowdaemon/sim_test.go
+++ b/internal/workflowdaemon/sim_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/parsleypier/parsleypier/internal/evacuation"
 	"github.com/parsleypier/parsleypier/internal/eventlog"
 	"github.com/parsleypier/parsleypier/internal/gateway"
 	"github.com/parsleypier/parsleypier/internal/rowstore"
@@ -40,6 +41,8 @@
 	history *history
 	log     *eventlog.Log
 	workers []*simWorker
+	// zones is set in a deployment with requests to evacuate zones.
+	zones *simZones
 
 	mu          sync.Mutex
 	entries     map[string]*simEntry
@@ -107,9 +110,10 @@
 	return t
 }
 
-func newSim(ctx context.Context, t *testing.T, seed uint64) *sim {
+func newSim(ctx context.Context, t *testing.T, seed uint64, zones *simZones) *sim {
 	s := &sim{
-		t: t, ctx: ctx, rng: &lockedRand{rng: rand.New(rand.NewPCG(seed, 1))}, lateRng: &lockedRand{rng: rand.New(rand.NewPCG(seed, 102))}, net: &simNet{services: map[string]map[string]any{}, isolated: map[string]bool{}, feedBlocked: map[string]bool{}, rowsBlocked: map[string]bool{}},
+		zones: zones,
+		t:     t, ctx: ctx, rng: &lockedRand{rng: rand.New(rand.NewPCG(seed, 1))}, lateRng: &lockedRand{rng: rand.New(rand.NewPCG(seed, 102))}, net: &simNet{services: map[string]map[string]any{}, isolated: map[string]bool{}, feedBlocked: map[string]bool{}, rowsBlocked: map[string]bool{}},
 		table: newPartitionedTable(), history: newHistory(), log: eventlog.Discard(), entries: map[string]*simEntry{}, agents: map[string]*Agent{},
 		faultCounts: map[string]int{},
 	}
@@ -120,12 +124,15 @@
 		}
 		s.log = eventlog.New(f, "sim", "all")
 	}
+	if zones != nil {
+		zones.sim, s.history.zones = s, zones
+	}
 	s.table.Put("op", "config", []byte(simConfig))
 	for i := range 3 {
 		s.startEntry(fmt.Sprintf("entry%d", i))
 	}
 	for i := range 6 {
-		w := &simWorker{id: fmt.Sprintf("w%d", i), listLimit: simListLimit, history: s.history, rng: rand.New(rand.NewPCG(seed, uint64(i)+2)), allWorkers: func() []*simWorker { return s.workers }}
+		w := &simWorker{id: fmt.Sprintf("w%d", i), listLimit: simListLimit, history: s.history, maxLease: s.maxLease(), rng: rand.New(rand.NewPCG(seed, uint64(i)+2)), allWorkers: func() []*simWorker { return s.workers }}
 		w.boot(time.Now())
 		s.workers = append(s.workers, w)
 	}
@@ -153,6 +160,15 @@
 	}
 }
 
+// maxLease is the longest lease that a worker grants. It is longer than the bound in a deployment
+// with requests to evacuate zones, so that leases limit no order before the bound does.
+func (s *sim) maxLease() time.Duration {
+	if s.zones != nil {
+		return 2 * simEvacuation.Bound
+	}
+	return simMaxLease
+}
+
 func (s *sim) sleep(d time.Duration) {
 	select {
 	case <-time.After(d):
@@ -163,17 +179,22 @@
 func (s *sim) startEntry(id string) {
 	ctx, cancel := context.WithCancel(s.ctx)
 	direct := s.table.ClientFor(id)
+	clock, limits := func() time.Duration { return time.Since(s.history.startedAt) }, evacuation.Limits{}
+	if s.zones != nil {
+		clock, limits = s.zones.clock(id), simEvacuation
+	}
 	e := NewEntry(EntryOptions{
+		EvacuationPrefix: simEvacuationPrefix, Evacuation: limits,
 		ID: id, RPCAddr: id, Log: s.log, Caller: simCaller{s.net, id}, OperatorTable: "op", ConfigKey: "config", DecodeConfig: simDecode, MaxConfigAge: simApplyLimit,
 		// The stub table is called directly, so the call function is not used.
 		NewStore: func(rowstore.CallFunc) rowstore.Store { return isolatableStore{direct, s.net, id} },
-		Clock:    func() time.Duration { return time.Since(s.history.startedAt) },
+		Clock:    clock,
 		ProcessGone: func(_ context.Context, addr string) bool {
 			s.net.mu.Lock()
 			defer s.net.mu.Unlock()
 			return s.net.services[addr] == nil && !s.net.isolated[id] && !s.net.isolated[addr]
 		},
-		Times: workflowowner.Times{Lease: simMaxLease, StopGrace: simStopGrace, GangWait: simGangWait, JobRetention: time.Minute, RemotePenalty: 3},
+		Times: workflowowner.Times{Lease: s.maxLease(), StopGrace: simStopGrace, GangWait: simGangWait, JobRetention: time.Minute, RemotePenalty: 3},
 	})
 	se := &simEntry{Entry: e, cancel: cancel, done: make(chan struct{})}
 	s.net.mu.Lock()
@@ -212,8 +233,14 @@
 		return
 	}
 	addr := "agent-" + worker
+	var clock func() time.Duration
+	if s.zones != nil {
+		clock = s.zones.clock(addr)
+		s.zones.recordFault(addr, false)
+	}
 	a := NewAgent(AgentOptions{
-		ID: addr, RPCAddr: addr, Store: s.table.ClientFor(addr), Lease: simMaxLease, Log: s.log, Caller: simCaller{s.net, addr},
+		Clock: clock,
+		ID:    addr, RPCAddr: addr, Store: s.table.ClientFor(addr), Lease: s.maxLease(), Log: s.log, Caller: simCaller{s.net, addr},
 		Connect: func(id, _ string) workflowagent.Worker {
 			for _, w := range s.workers {
 				if w.id == id {
@@ -245,11 +272,17 @@
 	s.net.mu.Lock()
 	delete(s.net.services, "agent-"+worker)
 	s.net.mu.Unlock()
+	if s.zones != nil {
+		s.zones.recordFault("agent-"+worker, true)
+	}
 	end(a)
 }
 
 // setIsolated sets whether a process reaches neither other processes nor the store.
 func (s *sim) setIsolated(addr string, isolated bool) {
+	if s.zones != nil {
+		s.zones.recordFault(addr, isolated)
+	}
 	s.net.mu.Lock()
 	defer s.net.mu.Unlock()
 	s.net.isolated[addr] = isolated
@@ -282,12 +315,12 @@
 
 // runSimulation runs a deployment with clients and random faults. With workerTrouble, some
 // tasks crash the workers that start them, other workers crash by themselves, and the
-// capacity of workers changes. It returns the rule violations, the number of faults of each
+// capacity of workers changes. With zones, the operator has zones evacuated. It returns the rule violations, the number of faults of each
 // kind and the number of task ends of each kind.
-func runSimulation(t *testing.T, seed uint64, workerTrouble bool) (violations []string, faults map[string]int, ends map[workflow.EndKind]int) {
+func runSimulation(t *testing.T, seed uint64, workerTrouble bool, zones *simZones) (violations []string, faults map[string]int, ends map[workflow.EndKind]int) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		s := newSim(ctx, t, seed)
+		s := newSim(ctx, t, seed, zones)
 		time.Sleep(3 * time.Second)
 		var clients, faultInjectors sync.WaitGroup
 		faultInjectors.Go(func() {
@@ -304,6 +337,9 @@
 			}
 			faultInjectors.Go(func() { s.changeCapacities(troubleRng) })
 		}
+		if zones != nil {
+			faultInjectors.Go(zones.operate)
+		}
 		for i := range 40 {
 			spec, queue := s.randomSpec(s.rng), "batch"
 			if s.rng.IntN(3) == 0 {
@@ -376,18 +412,24 @@
 // entries, agents, network and workers. To repeat a failed seed set -sim.seed;
 // -sim.log writes its event log.
 func TestSimulationWithRandomFaults(t *testing.T) {
-	runSeeds(t, false)
+	runSeeds(t, false, false)
 }
 
 // Guards against tasks that crash worker after worker, against healthy jobs that are given
 // up because of other crashes, and against starts beyond a capacity that has shrunk, under
 // the same random faults.
 func TestSimulationWithWorkerTrouble(t *testing.T) {
-	runSeeds(t, true)
+	runSeeds(t, true, false)
+}
+
+// Guards against starts in evacuated zones, and against work that is lost or run twice because
+// of evacuations, under the same random faults and with clocks that run up to 2% slow or fast.
+func TestSimulationWithEvacuations(t *testing.T) {
+	runSeeds(t, false, true)
 }
 
 // runSeeds runs the simulation for the seeds of the flags.
-func runSeeds(t *testing.T, workerTrouble bool) {
+func runSeeds(t *testing.T, workerTrouble, evacuations bool) {
 	seeds := []uint64{*simSeed}
 	if *simSeed == 0 {
 		seeds = nil
@@ -398,10 +440,19 @@
 	}
 	seen := map[string]int{}
 	done, seedsRun := 0, 0
+	requests, early, after := 0, 0, 0
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			seedsRun++
-			violations, faults, ends := runSimulation(t, seed, workerTrouble)
+			var zones *simZones
+			if evacuations {
+				zones = newSimZones(seed)
+			}
+			violations, faults, ends := runSimulation(t, seed, workerTrouble, zones)
+			if evacuations {
+				t.Logf("seed %d: %v", seed, zones)
+				requests, early, after = requests+zones.requests, early+zones.early, after+zones.after
+			}
 			done += ends[workflow.EndDone]
 			for k, n := range faults {
 				seen[k] += n
@@ -415,6 +466,9 @@
 	if len(seen) < 5 && seedsRun > 4 || done < 10*seedsRun {
 		t.Errorf("the simulations had only the faults %v and %d tasks done", seen, done)
 	}
+	if evacuations && seedsRun > 4 && (requests < 3*seedsRun || early == 0 || after == 0) {
+		t.Errorf("the simulations had only %d requests, %d starts in a zone before the bound and %d after a withdrawal", requests, early, after)
+	}
 	if workerTrouble && seedsRun > 4 && (seen[faultCrashByTask] == 0 || seen[faultCapacityShrunk] == 0) {
 		t.Errorf("no task crashed a worker, or no capacity shrank: %v", seen)
 	}
--- a/internal/workflowdaemon/sim_worker_test.go
+++ b/internal/workflowdaemon/sim_worker_test.go
@@ -34,6 +34,7 @@
 	history    *history
 	rng        *rand.Rand
 	allWorkers func() []*simWorker
+	maxLease   time.Duration
 
 	mu           sync.Mutex
 	incarnation  int64
@@ -60,6 +61,8 @@
 	// later.
 	lostCallShare float64
 	failAll       bool // every run that is started fails
+	// startTime is how long the worker takes to answer a start.
+	startTime time.Duration
 	// refusing is set while the machine is up and the worker's process is not, so that the
 	// kernel refuses connections.
 	refusing bool
@@ -82,9 +85,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	rack := "r" + string(w.id[1]/2)
-	return workflowrpc.Worker{ID: w.id, Incarnation: w.incarnation, Pool: "p", Rack: rack, Labels: []string{"k", rack}, Capacity: w.capacity}
+	return workflowrpc.Worker{ID: w.id, Incarnation: w.incarnation, Pool: "p", Zone: w.zone(), Rack: rack, Labels: []string{"k", rack}, Capacity: w.capacity}
 }
 
+// zone returns the availability zone of the worker: there are three, of two workers each.
+func (w *simWorker) zone() string { return "z" + string('0'+(w.id[1]-'0')%3) }
+
 func (w *simWorker) boot(now time.Time) {
 	w.incarnation, w.bootedAt, w.up, w.refusing = now.UnixMilli(), now, true, false
 	w.highestFence, w.leaseEnd, w.ackedSeq = 0, 0, 0
@@ -163,6 +169,10 @@
 	if err := c.worker.maybeLoseCall(ctx, func() { c.worker.startRun(c.incarnation, s, true) }); err != nil {
 		return workflowagent.Answer{}, err
 	}
+	c.worker.mu.Lock()
+	startTime := c.worker.startTime
+	c.worker.mu.Unlock()
+	defer time.Sleep(startTime)
 	return c.worker.startRun(c.worker.currentIncarnation(), s, false)
 }
 
@@ -348,7 +358,7 @@
 
 // extendLease extends the leases. The caller holds mu.
 func (w *simWorker) extendLease(deadline time.Duration) {
-	deadline = min(deadline, w.clock()+simMaxLease)
+	deadline = min(deadline, w.clock()+w.maxLease)
 	if deadline <= w.leaseEnd {
 		return
 	}
