--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -83,7 +83,6 @@
 	orders   []order
 	starts   int
 	outages  int
-	allowed  int
 	nearEnds int
 }
 
--- a/internal/rowstore/mirror_read_test.go
+++ b/internal/rowstore/mirror_read_test.go
@@ -56,7 +56,8 @@
 				}
 			}
 		}
-		go m.Run(ctx)
+		var run sync.WaitGroup
+		run.Go(func() { m.Run(ctx) })
 		for i := range 40 {
 			time.Sleep(330 * time.Millisecond)
 			mu.Lock()
@@ -66,7 +67,7 @@
 			mu.Unlock()
 		}
 		cancel()
-		time.Sleep(2 * time.Second)
+		run.Wait()
 		if reads < 10 {
 			t.Errorf("only %d reads", reads)
 		}
