Confirm a worker's leave once its ends are listed

A worker ends as soon as its leave is confirmed. The agent confirmed at once. If it was waiting between two listings, which it does for 0.2 s while ends are not acknowledged, an end of the last milliseconds was lost, and the task started again.

The leave is now confirmed after a listing that was requested after its arrival, or after 0.7 s. TestLeaveIsConfirmedAfterListing fails without it with one of two ends reported.

--- a/internal/workflowagent/agent.go
+++ b/internal/workflowagent/agent.go
@@ -100,14 +100,28 @@
 // WorkerLeft handles the leave of a worker. It names no incarnation, and may be a late one
 // of an earlier incarnation than that of the session.
 func (a *Agent) WorkerLeft(worker string) {
-	a.mu.Lock()
-	s := a.sessions[worker]
-	a.mu.Unlock()
-	if s != nil {
+	if s := a.session(worker); s != nil {
 		s.leaveReceived()
 	}
 }
 
+// ConfirmLeave handles the leave of a worker, and returns when the leave may be confirmed: the
+// worker ends then, and with it the ends that it has not listed. It returns after
+// leaveListTimeout at the latest.
+func (a *Agent) ConfirmLeave(ctx context.Context, worker string) {
+	a.WorkerLeft(worker)
+	if s := a.session(worker); s != nil {
+		s.listBeforeLeave(ctx)
+	}
+}
+
+// session returns the session of a worker, or nil if there is none.
+func (a *Agent) session(worker string) *session {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.sessions[worker]
+}
+
 // removeSession removes a session that is over.
 func (a *Agent) removeSession(s *session) {
 	a.mu.Lock()
--- a/internal/workflowagent/leave_test.go
+++ b/internal/workflowagent/leave_test.go
@@ -79,3 +79,74 @@
 		}
 	})
 }
+
+// TestLeaveIsConfirmedAfterListing guards against a second run of a task that is done when its
+// worker leaves: the worker ends as soon as its leave is confirmed, and the agent, which waits
+// between two listings, has not seen the end yet.
+func TestLeaveIsConfirmedAfterListing(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		h.orderStart(testRun(1))
+		other := workflow.RunID{Task: workflow.TaskID{Job: testRun(1).Task.Job, Index: 1}, Attempt: 1}
+		h.orderStart(other)
+		time.Sleep(time.Second)
+		h.agent.Heartbeat(workflowrpc.Worker{ID: "w", Incarnation: 1, Draining: true}, "addr", 2)
+		h.worker.mu.Lock()
+		h.worker.end(other, workflow.EndDone) // the owner has not acknowledged it
+		h.worker.mu.Unlock()
+		time.Sleep(holdWait + relistDelay/2)
+		h.worker.mu.Lock()
+		h.worker.end(testRun(1), workflow.EndDone)
+		h.worker.mu.Unlock()
+		h.agent.ConfirmLeave(t.Context(), "w")
+		h.worker.exit()
+		time.Sleep(2 * holdWait)
+		r := h.owner.lastReport()
+		if !r.Worker.Gone || r.Worker.End != workflowrpc.WorkerLeft || len(r.Ends) != 2 {
+			t.Errorf("reported worker %+v with ends %+v, want one that has left, and two ends", r.Worker, r.Ends)
+		}
+	})
+}
+
+// TestLeaveOfSilentWorkerIsConfirmed guards against a leave that is never confirmed, since the
+// worker does not answer.
+func TestLeaveOfSilentWorkerIsConfirmed(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		h.setSilent(true)
+		began := time.Now()
+		h.agent.ConfirmLeave(t.Context(), "w")
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("the leave was confirmed after %v, want 1s at most", took)
+		}
+	})
+}
+
+// TestSlowListingDoesNotMakeLeaveLate guards against tasks that wait for the end of a worker to
+// be certain: its ends take several listings, so that it answers long after its leave, which must
+// not count as that of an earlier incarnation.
+func TestSlowListingDoesNotMakeLeaveLate(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		h.worker.mu.Lock()
+		h.worker.listLimit = 1
+		for i := range 4 {
+			h.worker.end(workflow.RunID{Task: workflow.TaskID{Job: testRun(1).Task.Job, Index: i}, Attempt: 1}, workflow.EndDone)
+		}
+		h.worker.mu.Unlock()
+		h.agent.Heartbeat(workflowrpc.Worker{ID: "w", Incarnation: 1, Draining: true}, "addr", 2)
+		time.Sleep(holdWait)
+		go func() {
+			for i := range 4 {
+				time.Sleep(150 * time.Millisecond)
+				h.owner.mu.Lock()
+				h.owner.noted = uint64(i + 1)
+				h.owner.mu.Unlock()
+			}
+		}()
+		h.agent.ConfirmLeave(t.Context(), "w")
+		session := h.agent.session("w")
+		session.mu.Lock()
+		defer session.mu.Unlock()
+		if !session.leftRecently() {
+			t.Error("the leave counts as a late one when it is confirmed")
+		}
+	})
+}
--- a/internal/workflowagent/orders.go
+++ b/internal/workflowagent/orders.go
@@ -257,8 +257,39 @@
 
 // listUntilComplete requests listings until one, requested after this call began, has all
 // ends that the worker keeps, or one has shown the run or its end. It returns false if the
-// worker is gone or ctx ends. One request at a time serves all runs that wait for it.
+// worker is gone or ctx ends.
 func (s *session) listUntilComplete(ctx context.Context, id workflow.RunID, r *localRun) bool {
+	return s.listUntil(ctx, func(began time.Time) bool { return s.completeAsOf.After(began) || !s.isStarting(id, r) })
+}
+
+// leaveListTimeout limits the time for which the confirmation of a leave waits for a listing. A
+// leave that waits longer than 1 s counts as late.
+const leaveListTimeout = 700 * time.Millisecond
+
+// listBeforeLeave requests listings until one, requested after this call began, has all ends
+// that the worker keeps.
+func (s *session) listBeforeLeave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveListTimeout)
+	defer cancel()
+	s.mu.Lock()
+	s.leavesPending++
+	s.mu.Unlock()
+	listed := s.listUntil(ctx, func(began time.Time) bool { return s.completeAsOf.After(began) })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leavesPending--
+	if s.leaveAt != 0 {
+		s.leaveAt = s.agent.opts.Clock() // the worker goes on until it has the confirmation
+	}
+	if !listed {
+		s.agent.opts.Log.Event("worker_leave_unlisted", "worker", s.id, "incarnation", s.incarnation, "gone", s.gone)
+	}
+}
+
+// listUntil requests listings until done returns true for the time at which this call began. It
+// returns false if the worker is gone or ctx ends. One request at a time serves all callers.
+// done is called with s.mu held.
+func (s *session) listUntil(ctx context.Context, done func(began time.Time) bool) bool {
 	began := time.Now()
 	for ctx.Err() == nil && !s.isGone() {
 		s.mu.Lock()
@@ -276,9 +307,9 @@
 			}
 		}
 		s.mu.Lock()
-		done := s.completeAsOf.After(began) || !s.isStarting(id, r)
+		ended := done(began)
 		s.mu.Unlock()
-		if done {
+		if ended {
 			return true
 		}
 		retry.Sleep(ctx, max(delay, minRelistPause))
--- a/internal/workflowagent/session.go
+++ b/internal/workflowagent/session.go
@@ -111,9 +111,10 @@
 	// failedSince is when the first call failed since the last answer, endedAt when the
 	// worker ended; both are on the agent's clock, 0 for none.
 	failedSince, endedAt time.Duration
-	// leaveAt is when a leave under the worker's ID last arrived, on the agent's clock, 0
-	// for none.
-	leaveAt time.Duration
+	// leaveAt is when a leave under the worker's ID last arrived or was confirmed, on the agent's
+	// clock, 0 for none. leavesPending is the number of leaves that are not confirmed yet.
+	leaveAt       time.Duration
+	leavesPending int
 	// refusedSince is when the worker's address began to refuse connections, zero if
 	// it does not.
 	refusedSince time.Time
@@ -123,7 +124,7 @@
 
 	reportNow  chan struct{} // signals a change to report to the owner
 	holdNow    chan struct{} // signals a change that the worker must be told
-	listing    sync.Mutex    // held by the request of listUntilComplete
+	listing    sync.Mutex    // held by the request of listUntil
 	startCalls chan struct{} // has an element for each start call in progress
 	cancelHold context.CancelFunc
 	// syncSeq is the number of the last call to the owner, processedSeq that of the
@@ -354,8 +355,8 @@
 const (
 	// leaveValidity is how long after its leave a worker ends at the latest.
 	leaveValidity = 5 * time.Second
-	// lateLeaveAfter is how long after a leave an answer of the worker shows that an earlier
-	// incarnation has sent it. A worker that leaves ends once the leave is confirmed.
+	// lateLeaveAfter is how long after the confirmation of a leave an answer of the worker shows
+	// that an earlier incarnation has sent it. A worker that leaves ends once the leave is confirmed.
 	lateLeaveAfter = 300 * time.Millisecond
 )
 
@@ -388,7 +389,7 @@
 	if clock > 0 {
 		s.lastClock, s.lastClockAt = clock, s.agent.opts.Clock()
 	}
-	if s.leaveAt != 0 && s.agent.opts.Clock()-s.leaveAt > lateLeaveAfter {
+	if s.leaveAt != 0 && s.leavesPending == 0 && s.agent.opts.Clock()-s.leaveAt > lateLeaveAfter {
 		s.agent.opts.Log.Event("worker_leave_late", "worker", s.id, "incarnation", s.incarnation)
 		s.leaveAt = 0 // a later end of this incarnation does not follow from it
 	}
