Test clients that misuse their connections

Callers saw an entry end: clients outside its control made it exceed the memory of its machine. Nothing tested what a process holds for its clients.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,10 @@
 # Time or number of inputs for each fuzz target.
 FUZZTIME ?= 20000x
 
-.PHONY: build build-faults test lint scenario fuzz demo bench prove chaos slopes latency cluster clean
+# Which tests of misused connections to run: ci, or full with the machines in service.
+SET ?= ci
+
+.PHONY: build build-faults test lint scenario abuse fuzz demo bench prove chaos slopes latency cluster clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -29,6 +32,11 @@
 scenario:
 	skip=$$(.ci/known-red) && $(GO) test -count=1 -timeout 170s $${skip:+"$$skip"} ./test/scenario -set ci
 
+# Clients that misuse their connections. The tests measure memory, so they run one at a
+# time and apart from the others.
+abuse:
+	skip=$$(.ci/known-red) && $(GO) test -count=1 -p 1 -timeout 580s $${skip:+"$$skip"} ./platform/abusetest ./test/abusetest -set $(SET) -seed $(SEED)
+
 # The decoders of the users' platform and of stored names.
 fuzz:
 	for target in FuzzDecodeJob FuzzDecodeLists FuzzDecodeConfig; do \
