--- a/test/abuse/check.go
+++ b/test/abuse/check.go
@@ -75,11 +75,15 @@
 // Eventually fails the test if f still returns an error after a long time.
 func Eventually(t *testing.T, what string, f func() error) {
 	t.Helper()
-	for deadline := time.Now().Add(eventuallyTimeout); ; time.Sleep(100 * time.Millisecond) {
+	for tries, deadline := 1, time.Now().Add(eventuallyTimeout); ; tries++ {
 		err := f()
 		if err == nil {
 			return
 		}
+		if testing.Verbose() {
+			t.Logf("%s, try %d: %v", what, tries, err)
+		}
+		time.Sleep(100 * time.Millisecond)
 		if time.Now().After(deadline) {
 			t.Fatalf("%s: %v", what, err)
 		}
