Hold clients' headers, bodies and connections within the memory of an entry

Callers saw an entry end that other clients had sent many bodies, headers or connections: 600 bodies of legal size that stop just short of their end made it hold 259 MB, 600 headers of 1,900 short lines 219 MB, 1,500 unused connections 1,521 descriptors (limits of the tests: 96 MB, 1,000).

Cause: ClientHandler read each body with io.ReadAll, whose buffer grows by doubling, and nothing bounded how many did so, what headers take once net/http has made a map of them, or how many connections are open. A body that never ends was waited for without limit, since a context does not end a read, and net/http sent a refusal only after the client had sent 256 KB more.

The clients' listener now has a share of a budget that follows from memoryMb and maxFds (internal/memlimit).

--- a/cmd/parsleypierd/hosted.go
+++ b/cmd/parsleypierd/hosted.go
@@ -14,6 +14,7 @@
 	"github.com/parsleypier/parsleypier/internal/boottime"
 	"github.com/parsleypier/parsleypier/internal/evacuation"
 	"github.com/parsleypier/parsleypier/internal/eventlog"
+	"github.com/parsleypier/parsleypier/internal/memlimit"
 	"github.com/parsleypier/parsleypier/internal/rowstore"
 	"github.com/parsleypier/parsleypier/internal/rpc"
 	"github.com/parsleypier/parsleypier/internal/workflow"
@@ -112,13 +113,13 @@
 	go reload(e.SetSeeds)
 	metrics := newMetrics()
 	publishConfig(e.Config)
+	budget := newBudget(s, log)
 	clients := &platform.ClientHandler{Gateway: e.Gateway, Config: e.Config, RefreshConfig: e.RefreshConfig, Log: log, Leaving: e.Leaving, ObserveRequest: metrics.observeRequest}
-	servers := []*http.Server{
-		{Addr: s.ClientAddr, Handler: clients, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes},
-		{Addr: s.ReadinessAddr, Handler: platform.ReadinessHandler(e.Ready), ReadHeaderTimeout: readHeaderTimeout},
-		{Addr: s.MetricsAddr, Handler: metrics, ReadHeaderTimeout: readHeaderTimeout},
-	}
-	running, err := listen(servers, log)
+	running, err := listen([]endpoint{
+		{s.ClientAddr, clients, budget.ShareOf("clients", clientShare)},
+		{s.ReadinessAddr, platform.ReadinessHandler(e.Ready), nil},
+		{s.MetricsAddr, metrics, nil},
+	}, log)
 	if err != nil {
 		return err
 	}
@@ -152,12 +153,10 @@
 		return err
 	}
 	go reload(a.SetSeeds)
-	metrics := newMetrics()
-	servers := []*http.Server{
-		{Addr: s.WorkerAddr, Handler: &platform.HeartbeatHandler{Agent: a.Agent, Pool: s.LocalPool}, ReadHeaderTimeout: readHeaderTimeout},
-		{Addr: s.MetricsAddr, Handler: metrics, ReadHeaderTimeout: readHeaderTimeout},
-	}
-	running, err := listen(servers, log)
+	running, err := listen([]endpoint{
+		{s.WorkerAddr, &platform.HeartbeatHandler{Agent: a.Agent, Pool: s.LocalPool}, nil},
+		{s.MetricsAddr, newMetrics(), nil},
+	}, log)
 	if err != nil {
 		return err
 	}
@@ -183,18 +182,48 @@
 	return server, err
 }
 
-// listen opens the addresses of the servers and starts to serve them.
-func listen(servers []*http.Server, log *eventlog.Log) ([]*drainingServer, error) {
-	running := make([]*drainingServer, len(servers))
-	for i, server := range servers {
-		l, err := net.Listen("tcp", server.Addr)
+// clientShare is the part of the budget that is guaranteed to the clients of an entry.
+const clientShare = 0.6
+
+// newBudget returns the budget for those who call the process.
+func newBudget(s *platform.Settings, log *eventlog.Log) *memlimit.Budget {
+	b := s.Limits.Budget()
+	b.Publish()
+	go b.Report(nil, func(share string, now, before memlimit.Stats) {
+		log.Event("memory_pressure", "share", share, "evicted", now.Evicted-before.Evicted, "refusedConns", now.RefusedConns-before.RefusedConns,
+			"refusedRequests", now.RefusedRequests-before.RefusedRequests, "bytes", now.Bytes, "conns", now.Conns,
+			"largestClient", now.LargestClient, "largestClientBytes", now.LargestClientBytes)
+	})
+	return b
+}
+
+// endpoint is an address on which the process serves HTTP.
+type endpoint struct {
+	addr    string
+	handler http.Handler
+	share   *memlimit.Share
+}
+
+// listen opens the addresses and starts to serve them.
+func listen(endpoints []endpoint, log *eventlog.Log) ([]*drainingServer, error) {
+	running := make([]*drainingServer, len(endpoints))
+	for i, e := range endpoints {
+		l, err := net.Listen("tcp", e.addr)
 		if err != nil {
-			return nil, fmt.Errorf("listen on %s: %w", server.Addr, err)
+			return nil, fmt.Errorf("listen on %s: %w", e.addr, err)
+		}
+		server := &http.Server{Addr: e.addr, Handler: e.handler, ReadHeaderTimeout: readHeaderTimeout}
+		if e.share != nil {
+			server.IdleTimeout, server.MaxHeaderBytes = idleTimeout, maxHeaderBytes
 		}
 		running[i] = newDrainingServer(server, l)
+		var limited net.Listener = running[i].listener
+		if e.share != nil {
+			limited = memlimit.Limit(server, limited, e.share, nil)
+		}
 		go func() {
-			if err := server.Serve(running[i].listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-				log.Event("listener_lost", "addr", server.Addr, "err", err.Error())
+			if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+				log.Event("listener_lost", "addr", e.addr, "err", err.Error())
 			}
 		}()
 	}
--- a/cmd/parsleypierd/shutdown_test.go
+++ b/cmd/parsleypierd/shutdown_test.go
@@ -9,17 +9,18 @@
 	"time"
 
 	"github.com/parsleypier/parsleypier/internal/eventlog"
+	"github.com/parsleypier/parsleypier/internal/memlimit"
 )
 
 // startServer serves handler on loopback and returns its address.
 func startServer(t *testing.T, handler http.Handler) ([]*drainingServer, string) {
 	t.Helper()
-	server := &http.Server{Addr: "127.0.0.1:0", Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
-	running, err := listen([]*http.Server{server}, eventlog.Discard())
+	share := memlimit.Process{MemoryBytes: memlimit.DefaultMemoryBytes, Descriptors: memlimit.DefaultDescriptors}.Budget().ShareOf("test", 1)
+	running, err := listen([]endpoint{{"127.0.0.1:0", handler, share}}, eventlog.Discard())
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { server.Close() })
+	t.Cleanup(func() { running[0].server.Close() })
 	return running, running[0].listener.Addr().String()
 }
 
