Bound what clients' connections receive unread

An entry held 74 MB beside its own memory that its connections had received and that it had not read, of 600 clients that sent more than is read from them. These bytes count as memory of the process.

Cause: the kernel enlarges the receive buffer of a connection to megabytes by itself. The listener now sets it to 8 KiB, which its connections inherit. A connection on which a large body arrives gets 32 KiB, if the budget has room for what that may hold, and keeps it.

--- a/cmd/parsleypierd/hosted.go
+++ b/cmd/parsleypierd/hosted.go
@@ -212,6 +212,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("listen on %s: %w", e.addr, err)
 		}
+		if err := memlimit.SetReceiveBuffer(l); err != nil {
+			log.Event("receive_buffer_unchanged", "addr", e.addr, "err", err.Error())
+		}
 		server := &http.Server{Addr: e.addr, Handler: e.handler, ReadHeaderTimeout: readHeaderTimeout}
 		if e.share != nil {
 			server.IdleTimeout, server.MaxHeaderBytes = idleTimeout, maxHeaderBytes
--- a/internal/memlimit/budget.go
+++ b/internal/memlimit/budget.go
@@ -158,6 +158,20 @@
 	return nil
 }
 
+// TryAdd adds bytes to what the connection holds if that is possible without a wait and without
+// closing connections.
+func (g *Grant) TryAdd(bytes int64) bool {
+	b := g.share.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	need := Amount{Bytes: bytes}
+	if g.evicted || g.closed || len(g.share.waiters) > 0 || !b.fits(g.share, g, need) {
+		return false
+	}
+	g.grow(need)
+	return true
+}
+
 // Release gives back bytes.
 func (g *Grant) Release(bytes int64) { g.giveBack(Amount{Bytes: bytes}) }
 
--- a/internal/memlimit/conn.go
+++ b/internal/memlimit/conn.go
@@ -38,6 +38,9 @@
 
 	// evicting is set once the connection is evicted.
 	evicting atomic.Bool
+	// enlarged is set once the receive buffer is that for a large body. Only the handler of a
+	// request uses it.
+	enlarged bool
 	// lingers is set if a request was answered before it was received.
 	lingers atomic.Bool
 	// deadlines protects the deadlines: net/http must not replace that of an eviction.
--- a/internal/memlimit/http.go
+++ b/internal/memlimit/http.go
@@ -202,16 +202,11 @@
 	if c == nil || size == 0 {
 		return readAll(r.Body, size, limit)
 	}
-	hold, large := size, size > receiveBuffer
-	if large {
-		hold += bodyUnread
-	}
-	if err := Hold(r, hold); err != nil {
+	if err := Hold(r, size); err != nil {
 		return nil, err
 	}
-	if large {
-		c.setReceiveBuffer(bodyReceiveBuffer)
-		defer c.setReceiveBuffer(receiveBuffer)
+	if size > receiveBuffer {
+		c.enlargeReceiveBuffer()
 	}
 	body, err := c.readBody(ctx, r.Body, size, limit)
 	if err != nil {
@@ -244,9 +239,17 @@
 	return body, c.SetReadDeadline(time.Time{})
 }
 
-// setReceiveBuffer sets the size of the receive buffer. Without it the body only arrives more
-// slowly, so errors do not matter.
-func (c *conn) setReceiveBuffer(bytes int) { _ = setReceiveBuffer(c.Conn, bytes) }
+// enlargeReceiveBuffer enlarges the receive buffer if there is room for what it may hold. It stays
+// enlarged: the client may use a window that was announced, and what does not fit into a buffer
+// that has become smaller is dropped and sent again after seconds.
+func (c *conn) enlargeReceiveBuffer() {
+	if c.enlarged || !c.grant.TryAdd(bodyUnread) {
+		return
+	}
+	c.enlarged = true
+	// Without it the body only arrives more slowly.
+	_ = setReceiveBuffer(c.Conn, bodyReceiveBuffer)
+}
 
 // readAll reads a body of at most limit bytes to its end. size is its length, or more.
 func readAll(r io.Reader, size, limit int64) ([]byte, error) {
--- a/internal/memlimit/listener.go
+++ b/internal/memlimit/listener.go
@@ -11,7 +11,7 @@
 	// connection has received while the process does not read it; the kernel accepts up to half
 	// as much again.
 	receiveBuffer = 8 << 10
-	// bodyReceiveBuffer is that of a connection on which a large body is received, so that the
+	// bodyReceiveBuffer is that of a connection on which a large body was received, so that the
 	// round trip time does not limit its rate, and bodyUnread is the memory for it.
 	bodyReceiveBuffer = 32 << 10
 	bodyUnread        = 48 << 10
