Hold callers of readiness and metrics within the memory of an entry

An entry could be ended through its ports for readiness checks and metrics: 600 requests with 1,900 header lines made it hold 209 and 222 MB (limit 96), 1,800 headers without end 120 and 114 MB, 300 clients that send requests in one go 308 and 281 MB, and 1,500 unused connections 1,521 descriptors (limit 1,000).

Cause: these servers had none of the limits of the clients' port: headers of 1 MB, no limit for idle connections, none of memory or connections.

They now have the same limits and a share each of the same budget, of which a twentieth is guaranteed to them, so that a crowd on another port does not keep the load balancer from being answered (TestOtherPortsBesideClients).

--- a/cmd/parsleypierd/hosted.go
+++ b/cmd/parsleypierd/hosted.go
@@ -117,8 +117,8 @@
 	clients := &platform.ClientHandler{Gateway: e.Gateway, Config: e.Config, RefreshConfig: e.RefreshConfig, Log: log, Leaving: e.Leaving, ObserveRequest: metrics.observeRequest}
 	running, err := listen([]endpoint{
 		{s.ClientAddr, clients, budget.ShareOf("clients", clientShare)},
-		{s.ReadinessAddr, platform.ReadinessHandler(e.Ready), nil},
-		{s.MetricsAddr, metrics, nil},
+		{s.ReadinessAddr, platform.ReadinessHandler(e.Ready), budget.ShareOf("readiness", operatorShare)},
+		{s.MetricsAddr, metrics, budget.ShareOf("metrics", operatorShare)},
 	}, log)
 	if err != nil {
 		return err
@@ -182,8 +182,11 @@
 	return server, err
 }
 
-// clientShare is the part of the budget that is guaranteed to the clients of an entry.
-const clientShare = 0.6
+// The parts of the budget that are guaranteed to the listeners of a process.
+const (
+	clientShare   = 0.6
+	operatorShare = 0.05 // readiness checks, metrics
+)
 
 // newBudget returns the budget for those who call the process.
 func newBudget(s *platform.Settings, log *eventlog.Log) *memlimit.Budget {
