--- /dev/null
+++ b/review/standins3/flapping.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// flappingCase: a job with 300 lasting tasks, none of which ever fails, on 10 workers with room for
+// 320. One worker goes down and up by turns for 6.5 s.
+func flappingCase(rec *record, trouble bool) (string, error) {
+	const (
+		workers   = 10
+		tasks     = 300
+		steadyFor = 8 * time.Second
+		flapFor   = 6500 * time.Millisecond
+		period    = 1400 * time.Millisecond
+		calmFor   = 15 * time.Second
+	)
+	d, err := startDeployment(rec, 3, workers)
+	if d != nil {
+		defer d.close()
+	}
+	if err != nil {
+		return "", err
+	}
+	if err := d.ready(); err != nil {
+		return "", err
+	}
+	time.Sleep(2 * time.Second)
+	does := behaviour{Name: "service", Cores: 2_000, Memory: 4_000, Lasts: true}
+	const job = "5c0e7a21d94b36f8"
+	if err := d.submit(batch+job, map[string]any{"spec": payload(does), "steps": []map[string]any{
+		{"count": tasks, "cpu": does.Cores, "memMb": does.Memory, "estimateMs": 5000, "persistent": true},
+	}}); err != nil {
+		return "", err
+	}
+	time.Sleep(steadyFor)
+	if trouble {
+		w := d.workers[0]
+		for began, n := rec.now(), 1; rec.now()-began < flapFor; n++ {
+			w.crash()
+			time.Sleep(period / 2)
+			w.rename(fmt.Sprintf("i-%08x", 0x8000_0000+n))
+			if err := w.start(); err != nil {
+				return "", err
+			}
+			time.Sleep(period / 2)
+		}
+	}
+	time.Sleep(calmFor)
+	failed, at := map[string]int{}, 0
+	for _, e := range d.eventsSoFar() {
+		if e.kind == "failed" {
+			failed[e.task]++
+		}
+	}
+	for i := range 3 {
+		if s := d.state(i, batch+job); s != "running" {
+			return fmt.Sprintf("LOST: the job, which nobody has cancelled, is shown as %q by edge-%d; %d of its runs ended as failed", s, i, len(failed)), nil
+		}
+		at++
+	}
+	running := map[string]int{}
+	for _, e := range d.eventsSoFar() {
+		if e.kind == "start" {
+			running[e.task]++
+		} else {
+			running[e.task]--
+		}
+	}
+	n := 0
+	for _, r := range running {
+		n += min(r, 1)
+	}
+	rec.add("check: %d entries show the job as running; %d of %d tasks are at work", at, n, tasks)
+	return "", nil
+}
