--- a/review/standins3/lasting.go
+++ b/review/standins3/lasting.go
@@ -85,7 +85,7 @@
 			idle := now - max(lastEnd[task], began)
 			worst[task] = max(worst[task], idle)
 			if idle > allowed && hasRoom && now-roomSince > roomFor && broken == "" {
-				broken = fmt.Sprintf("LOST: lasting task %s has had no run for %.1f s (its last run ended at %.1f s), and for %.1f s worker %s has had room for it twice over",
+				broken = fmt.Sprintf("LOST: lasting task %s has had no run for %.1f s (its last run ended at %.1f s), and for %.1f s there has been room for it twice over, now on worker %s",
 					task, idle.Seconds(), lastEnd[task].Seconds(), (now - roomSince).Seconds(), room)
 				d.record.add("%s", broken)
 			}
