--- a/review/standins3/flapping.go
+++ b/review/standins3/crashloop.go
@@ -5,15 +5,16 @@
 	"time"
 )
 
-// flappingCase: a job with 300 lasting tasks, none of which ever fails, on 10 workers with room for
-// 320. One worker goes down and up by turns for 6.5 s.
-func flappingCase(rec *record, trouble bool) (string, error) {
+// crashLoopCase: a job with 300 lasting tasks, none of which ever fails, on 10 workers with room for
+// 320. One worker crashes four times in a row: each time it is back for 0.7 s.
+func crashLoopCase(rec *record, trouble bool) (string, error) {
 	const (
 		workers   = 10
 		tasks     = 300
 		steadyFor = 8 * time.Second
-		flapFor   = 6500 * time.Millisecond
-		period    = 1400 * time.Millisecond
+		crashes   = 4
+		downFor   = 700 * time.Millisecond
+		upFor     = 700 * time.Millisecond
 		calmFor   = 15 * time.Second
 	)
 	d, err := startDeployment(rec, 3, workers)
@@ -37,18 +38,18 @@
 	time.Sleep(steadyFor)
 	if trouble {
 		w := d.workers[0]
-		for began, n := rec.now(), 1; rec.now()-began < flapFor; n++ {
+		for n := range crashes {
 			w.crash()
-			time.Sleep(period / 2)
+			time.Sleep(downFor)
 			w.rename(fmt.Sprintf("i-%08x", 0x8000_0000+n))
 			if err := w.start(); err != nil {
 				return "", err
 			}
-			time.Sleep(period / 2)
+			time.Sleep(upFor)
 		}
 	}
 	time.Sleep(calmFor)
-	failed, at := map[string]int{}, 0
+	failed := map[string]int{}
 	for _, e := range d.eventsSoFar() {
 		if e.kind == "failed" {
 			failed[e.task]++
@@ -58,7 +59,6 @@
 		if s := d.state(i, batch+job); s != "running" {
 			return fmt.Sprintf("LOST: the job, which nobody has cancelled, is shown as %q by edge-%d; %d of its runs ended as failed", s, i, len(failed)), nil
 		}
-		at++
 	}
 	running := map[string]int{}
 	for _, e := range d.eventsSoFar() {
@@ -72,6 +72,6 @@
 	for _, r := range running {
 		n += min(r, 1)
 	}
-	rec.add("check: %d entries show the job as running; %d of %d tasks are at work", at, n, tasks)
+	rec.add("check: all entries show the job as running; %d of %d tasks are at work", n, tasks)
 	return "", nil
 }
--- a/review/standins3/deployment.go
+++ b/review/standins3/deployment.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -112,10 +113,15 @@
 	entries int
 	stop    context.CancelFunc
 
+	closeOnce sync.Once
+
 	mu     sync.Mutex
 	events []event
 }
 
+// started is the deployment that this process has started.
+var started atomic.Pointer[deployment]
+
 const programPath = "target/parsleypierd"
 
 // startDeployment starts a deployment with the command of the deploy file.
@@ -126,6 +132,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	d := &deployment{record: rec, dir: dir, table: rowstorestub.New(), entries: entries, stop: stop}
+	started.Store(d)
 	d.table.Rates, d.table.ReadOnly = rowstorestub.UsersRates, map[string]bool{"op": true, "servers": true}
 	d.table.Put("op", "config", []byte(configuration))
 	if err := d.chooseAddresses(); err != nil {
@@ -205,6 +212,7 @@
 	cmd := exec.Command(programPath, "hosted")
 	cmd.Env = append(os.Environ(), "PARSLEYPIER_CONFIG="+file)
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also if this process is killed
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -212,8 +220,10 @@
 	return nil
 }
 
-// close ends all that the deployment has started.
-func (d *deployment) close() {
+// close ends all that the deployment has started, once.
+func (d *deployment) close() { d.closeOnce.Do(d.end) }
+
+func (d *deployment) end() {
 	d.stop()
 	for _, p := range d.procs {
 		// An error means that the process has ended.
--- a/review/standins3/isolated.go
+++ b/review/standins3/isolated.go
@@ -37,7 +37,7 @@
 		return "", err
 	}
 	time.Sleep(2 * time.Second)
-	does := behaviour{Name: "service", Cores: 2_000, Memory: 4_000, Lasts: true, FailMeanMs: 60_000}
+	does := behaviour{Name: "service", Cores: 2_000, Memory: 4_000, Lasts: true, FailMeanMs: 40_000}
 	const job = "5c0e7a21d94b36f8"
 	if err := d.submit(batch+job, map[string]any{"spec": payload(does), "steps": []map[string]any{
 		{"count": tasks, "cpu": does.Cores, "memMb": does.Memory, "estimateMs": 5000, "persistent": true},
--- a/review/standins3/lasting.go
+++ b/review/standins3/lasting.go
@@ -5,13 +5,13 @@
 	"time"
 )
 
-// lastingCase: a job with 79 lasting tasks on 10 workers with room for 80. One worker fails all that
+// lastingCase: a job with 76 lasting tasks on 10 workers with room for 80. One worker fails all that
 // it starts for 6 s and is sound again afterwards. Tasks fail now and then, as lasting tasks may:
-// each after half a minute on average.
+// each after 25 s on average.
 func lastingCase(rec *record, trouble bool) (string, error) {
 	const (
 		workers  = 10
-		tasks    = 79
+		tasks    = 76
 		badFor   = 6 * time.Second
 		calmFor  = 10 * time.Second // after the trouble, before the check begins
 		checkFor = 45 * time.Second
@@ -29,7 +29,7 @@
 		return "", err
 	}
 	time.Sleep(2 * time.Second)
-	does := behaviour{Name: "service", GPUs: 1, Cores: 8_000, Memory: 32_000, Lasts: true, FailMeanMs: 30_000}
+	does := behaviour{Name: "service", GPUs: 1, Cores: 8_000, Memory: 32_000, Lasts: true, FailMeanMs: 24_000}
 	if trouble {
 		d.workers[0].setFailsAll(true)
 	}
--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -6,6 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"runtime"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -18,16 +21,29 @@
 // cases are the cases by name. Each returns what broke the rule, or "" if it held. The trouble is
 // left out unless trouble is set.
 var cases = map[string]func(rec *record, trouble bool) (string, error){
-	"lasting":  lastingCase,
-	"isolated": isolatedCase,
-	"flapping": flappingCase,
-	"probe":    probeCase,
-	"datarack": dataRackCase,
+	"lasting":   lastingCase,
+	"isolated":  isolatedCase,
+	"crashloop": crashLoopCase,
+	"probe":     probeCase,
+	"datarack":  dataRackCase,
 }
 
-func main() { os.Exit(run1()) }
+func main() {
+	// The processes that are started end with the thread that has started them.
+	runtime.LockOSThread()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-interrupted
+		if d := started.Load(); d != nil {
+			d.close()
+		}
+		os.Exit(exitCannotRun)
+	}()
+	os.Exit(runCase())
+}
 
-func run1() int {
+func runCase() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: standins3 CASE FOLDER")
 		return exitCannotRun
