--- a/review/standins3/lasting.go
+++ b/review/standins3/lasting.go
@@ -5,13 +5,13 @@
 	"time"
 )
 
-// lastingCase: a job with 76 lasting tasks on 10 workers with room for 80. One worker fails all that
+// lastingCase: a job with 92 lasting tasks on 12 workers with room for 96. One worker fails all that
 // it starts for 6 s and is sound again afterwards. Tasks fail now and then, as lasting tasks may:
 // each after 25 s on average.
 func lastingCase(rec *record, trouble bool) (string, error) {
 	const (
-		workers  = 10
-		tasks    = 76
+		workers  = 12
+		tasks    = 92
 		badFor   = 6 * time.Second
 		calmFor  = 10 * time.Second // after the trouble, before the check begins
 		checkFor = 45 * time.Second
--- a/review/standins3/probe.go
+++ b/review/standins3/probe.go
@@ -6,12 +6,12 @@
 	"time"
 )
 
-// probeCase: 9 of 10 workers are full of lasting tasks. The tenth fails all that it starts for 6 s,
+// probeCase: 11 of 12 workers are full of lasting tasks. The other one fails all that it starts for 6 s,
 // while two jobs with a long task each are handed in. After it is sound again, a job with one lasting
 // task is handed in.
 func probeCase(rec *record, trouble bool) (string, error) {
 	const (
-		workers  = 10
+		workers  = 12
 		badFor   = 6 * time.Second
 		calmFor  = 14 * time.Second
 		checkFor = 45 * time.Second
